--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool; the only part that starts processes."""
--- /dev/null
+++ b/siskindale/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Signing, rolling, following and auditing of bundles."""
--- /dev/null
+++ b/siskindale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the operators' command."""
--- /dev/null
+++ b/siskindale/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection, promotion, joining and leaving of targets."""
--- /dev/null
+++ b/siskindale/controller/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the controller as functions over tables, without I/O."""
--- /dev/null
+++ b/siskindale/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' API: sessions, forwarding to pools, matching of answers."""
--- /dev/null
+++ b/siskindale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Directory of the VMs and assignment of groups to them."""
--- /dev/null
+++ b/siskindale/models/__init__.py
@@ -0,0 +1,1 @@
+"""Data definitions shared by the programs; no processing."""
--- /dev/null
+++ b/siskindale/models/settings.py
@@ -0,0 +1,106 @@
+"""Settings of a VM: one file, of which each program reads the common part and its own section."""
+
+import attrs
+
+
+@attrs.frozen
+class Address:
+    """TCP address; `host` is an IP number."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @property
+    def inbox_url(self) -> str:
+        """URL of a message inbox at this address."""
+        return f"tcp://{self.host}:{self.port}"
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Addresses of the platform's services; `timeout_ms` bounds one request."""
+
+    tables: Address
+    objects: Address
+    live_list: Address
+    driver: str = "http"
+    timeout_ms: int = 1000
+
+
+@attrs.frozen
+class SessionKey:
+    """HMAC key for session tokens; `secret` is hexadecimal, 32 bytes or more."""
+
+    id: str
+    secret: str
+
+
+@attrs.frozen
+class Signer:
+    """Operator whose bundle signatures are trusted; `public_key` is Ed25519 in hexadecimal."""
+
+    name: str
+    public_key: str
+
+
+@attrs.frozen
+class Trust:
+    """Trusted signers and the number of different ones that a bundle needs."""
+
+    signers: tuple[Signer, ...]
+    required_signatures: int = 1
+
+
+@attrs.frozen
+class EntrySettings:
+    """Addresses and limits of `siskindale-entry`."""
+
+    listen: Address
+    inbox: Address
+    health: Address
+    max_body_bytes: int = 1 << 20
+    max_callers: int = 10_000
+    default_deadline_ms: int = 5_000
+    max_deadline_ms: int = 60_000
+
+
+@attrs.frozen
+class PoolSettings:
+    """Addresses and limits of `siskindale-pool`."""
+
+    inbox: Address
+    health: Address
+    target_driver: str = "http"
+    max_result_bytes: int = 16 << 20
+    max_transactions: int = 1_000
+
+
+@attrs.frozen
+class ControllerSettings:
+    """Addresses of `siskindale-controller`."""
+
+    inbox: Address
+    health: Address
+    target_driver: str = "http"
+
+
+@attrs.frozen
+class Settings:
+    """Settings of all programs of one VM.
+
+    The first session key signs, all of them verify, so that keys can be replaced without a break.
+    """
+
+    vm: str
+    failure_domain: str
+    platform: PlatformSettings
+    session_keys: tuple[SessionKey, ...]
+    trust: Trust
+    entry: EntrySettings
+    pool: PoolSettings
+    controller: ControllerSettings
+    region: str = "default"
+    log_level: str = "info"
--- /dev/null
+++ b/siskindale/output/__init__.py
@@ -0,0 +1,1 @@
+"""Formatting of results and errors for terminals and scripts."""
--- /dev/null
+++ b/siskindale/pool/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets: admission, routing, transactions, acknowledgement."""
--- /dev/null
+++ b/siskindale/pool/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the pool as functions over tables, without I/O."""
--- /dev/null
+++ b/siskindale/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that every program uses: logs, metrics, health, ticks and shutdown."""
--- /dev/null
+++ b/siskindale/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the targets of database groups."""
--- /dev/null
+++ b/siskindale/targets/interface.py
@@ -0,0 +1,166 @@
+"""What siskindale needs of a target.
+
+The operations are an assumption about the users' databases and stand only here, in the drivers and
+in the stand-in.
+"""
+
+import enum
+from collections.abc import Sequence
+from typing import Protocol
+
+import attrs
+from returns.result import Result
+
+from siskindale.models.bundle import Target
+from siskindale.models.group import LogPosition, Role, TargetStatus
+from siskindale.models.wire import Scalar, StatementResult
+from siskindale.registry import Registry
+
+
+class TargetFailure(enum.StrEnum):
+    """Kinds of failure of a target request.
+
+    Only `UNKNOWN` may have taken effect. `STATEMENT` is an SQL error, `CONSTRAINT` a violated
+    constraint; both roll the transaction back. `TERM` refuses an operation of an older term,
+    `ROLE` one that the target's role does not allow. `LIMIT` refuses a connection over the limit.
+    """
+
+    UNREACHABLE = "unreachable"
+    LIMIT = "limit"
+    STATEMENT = "statement"
+    CONSTRAINT = "constraint"
+    ROLE = "role"
+    TERM = "term"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class TargetError:
+    """Failure of a target request; `step` is the index of the step that failed in a batch.
+
+    A batch that failed at a step other than a `Commit` had no effect. After `UNKNOWN` and
+    `UNREACHABLE` the connection is closed.
+    """
+
+    kind: TargetFailure
+    detail: str
+    step: int | None = None
+
+
+@attrs.frozen
+class Begin:
+    """Opens a transaction; `mode` is "read" or "write"."""
+
+    mode: str
+
+
+@attrs.frozen
+class Statement:
+    """Runs one SQL statement with positional parameters."""
+
+    sql: str
+    params: tuple[Scalar, ...] = ()
+
+
+@attrs.frozen
+class Commit:
+    """Commits the open transaction."""
+
+
+@attrs.frozen
+class Rollback:
+    """Rolls the open transaction back."""
+
+
+Step = Begin | Statement | Commit | Rollback
+
+
+@attrs.frozen
+class BatchResult:
+    """Results of all steps of a batch, None for the steps other than statements.
+
+    `at` is the log position of the commit, or the position that a read saw; `term` and `matched`
+    are the target's own at that moment.
+    """
+
+    results: tuple[StatementResult | None, ...]
+    term: int
+    at: LogPosition
+    role: Role
+    matched: bool
+
+
+class DataConnection(Protocol):
+    """A scarce connection with its own transaction state; used by one greenlet at a time."""
+
+    @property
+    def usable(self) -> bool:
+        """Whether further batches may be sent: open, and no answer outstanding."""
+        ...
+
+    def run(self, steps: Sequence[Step], timeout_s: float) -> Result[BatchResult, TargetError]:
+        """Runs a batch in order up to the first error.
+
+        A batch without `Begin` outside a transaction runs in one of its own; reads among them
+        need no write access. After a timeout the outcome is unknown and the connection closed.
+        """
+        ...
+
+    def close(self) -> None:
+        """Closes the connection; the target rolls back an open transaction."""
+        ...
+
+
+class ControlClient(Protocol):
+    """Administration of a target over kept connections that do not count against its limit.
+
+    Several calls may be in progress at once.
+    """
+
+    def status(self, timeout_s: float) -> Result[TargetStatus, TargetError]:
+        """Returns the target's status."""
+        ...
+
+    def wait_position(
+        self, term: int, position: int, timeout_s: float
+    ) -> Result[TargetStatus, TargetError]:
+        """Returns the status when the matched log of `term` holds `position`.
+
+        Returns the status earlier when the target's term differs, and at the timeout.
+        """
+        ...
+
+    def fence(self, term: int, timeout_s: float) -> Result[TargetStatus, TargetError]:
+        """Moves the target to a higher term in which it is fenced; else fails with `TERM`."""
+        ...
+
+    def promote(
+        self, term: int, voters: tuple[str, ...], timeout_s: float
+    ) -> Result[TargetStatus, TargetError]:
+        """Makes a target that is fenced at exactly `term` the primary and writes the marker."""
+        ...
+
+    def follow(
+        self, term: int, primary: Target, timeout_s: float
+    ) -> Result[TargetStatus, TargetError]:
+        """Makes the target a replica of `primary` in its own term or a newer one."""
+        ...
+
+    def close(self) -> None:
+        """Closes the kept connections."""
+        ...
+
+
+class TargetDriver(Protocol):
+    """Opens connections to targets."""
+
+    def connect(self, target: Target, timeout_s: float) -> Result[DataConnection, TargetError]:
+        """Opens a data connection, which takes the target's connection time."""
+        ...
+
+    def control(self, target: Target) -> ControlClient:
+        """Returns a control client; it connects when first used."""
+        ...
+
+
+TARGET_DRIVERS: Registry[type[TargetDriver]] = Registry("target driver")
--- /dev/null
+++ b/siskindale/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the programs."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems; never imported by the product."""
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform: table service, object store, live list."""
--- /dev/null
+++ b/standins/target/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a target: one instance of a database group on sqlite3."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests by feature."""
--- /dev/null
+++ b/tests/test_rendezvous.py
@@ -0,0 +1,39 @@
+"""Assignment of groups to VMs."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskindale.membership.directory import Member, from_row, to_row
+from siskindale.membership.rendezvous import rank
+from siskindale.models.settings import Address
+
+DOMAINS = ("smolyan", "chepelare", "devin")
+
+
+def member(index: int) -> Member:
+    """Returns the VM of that index; VMs are spread over three failure domains."""
+    address = Address("127.0.0.1", 1000 + index)
+    return Member(f"vm{index}", DOMAINS[index % 3], "bg", address, address, address)
+
+
+def test_row_round_trip() -> None:
+    """Guards against a member row that another program cannot read back."""
+    assert from_row(to_row(member(1))) == member(1)
+
+
+@given(st.sets(st.integers(0, 50), min_size=2), st.text(min_size=1))
+def test_loss_of_a_vm_moves_only_its_groups(indexes: set[int], group: str) -> None:
+    """Guards against a lost VM moving groups that it did not serve."""
+    members = [member(i) for i in sorted(indexes)]
+    before = rank(group, members)
+    lost = before[-1]
+    assert rank(group, [m for m in members if m is not lost])[0] == before[0]
+
+
+@given(st.sets(st.integers(0, 50), min_size=1), st.text(min_size=1))
+def test_first_ranks_lie_in_different_failure_domains(indexes: set[int], group: str) -> None:
+    """Guards against both pools of a group being lost with one failure domain."""
+    members = [member(i) for i in sorted(indexes)]
+    domains = {m.failure_domain for m in members}
+    first = rank(group, members)[: len(domains)]
+    assert {m.failure_domain for m in first} == domains
