--- a/siskindale/models/settings.py
+++ b/siskindale/models/settings.py
@@ -21,13 +21,17 @@
 
 @attrs.frozen
 class PlatformSettings:
-    """Addresses of the platform's services; `timeout_ms` bounds one request."""
+    """Addresses of the platform's services; `timeout_ms` bounds one request.
+
+    `client` names this VM in the requests, for the platform's logs.
+    """
 
     tables: Address
     objects: Address
     live_list: Address
     driver: str = "http"
     timeout_ms: int = 1000
+    client: str = ""
 
 
 @attrs.frozen
--- a/siskindale/targets/interface.py
+++ b/siskindale/targets/interface.py
@@ -152,7 +152,12 @@
 
 
 class TargetDriver(Protocol):
-    """Opens connections to targets."""
+    """Opens connections to targets.
+
+    `client_kind` ("pools" or "controllers") and `client_name` name the caller in requests.
+    """
+
+    def __init__(self, client_kind: str = "", client_name: str = "") -> None: ...
 
     def connect(self, target: Target, timeout_s: float) -> Result[DataConnection, TargetError]:
         """Opens a data connection, which takes the target's connection time."""
--- /dev/null
+++ b/siskindale/transport/http.py
@@ -0,0 +1,213 @@
+"""HTTP/1.1 client for targets and platform: persistent connections, no automatic resend.
+
+A client that reconnects and sends a request again would repeat writes, so a failure only says
+whether the request may have left.
+"""
+
+import errno
+import socket as system_socket
+import time
+from collections.abc import Mapping
+
+import attrs
+import httptools
+from gevent import socket
+from returns.result import Failure, Result, Success
+
+from siskindale.models.settings import Address
+
+MAX_RESPONSE_BYTES = 64 << 20
+MAX_KEPT = 4
+READ_BYTES = 1 << 16
+
+_NOT_SENT = (errno.EAGAIN, errno.EWOULDBLOCK)
+
+
+@attrs.frozen
+class HttpFailure:
+    """Failure of an exchange; only with `sent` may the request have taken effect."""
+
+    sent: bool
+    detail: str
+
+
+@attrs.frozen
+class HttpResponse:
+    """Status code and whole body of a response."""
+
+    status: int
+    body: bytes
+
+
+class _Response:
+    """Receives the callbacks of the parser."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.keep_alive = False
+        self.chunks: list[bytes] = []
+        self.size = 0
+        self.complete = False
+        self.excess = False
+
+    def on_body(self, chunk: bytes) -> None:
+        self.size += len(chunk)
+        if self.size > MAX_RESPONSE_BYTES:
+            raise ValueError("response is too large")
+        self.chunks.append(chunk)
+
+    def on_message_begin(self) -> None:
+        self.excess = self.complete
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+        # The parser forgets the answer to this question after the callback.
+        self.keep_alive = self.parser.should_keep_alive()
+
+
+class HttpConnection:
+    """One connection; used by one greenlet at a time, unusable after any failure."""
+
+    def __init__(self, sock: socket.socket, address: Address, headers: Mapping[str, str]) -> None:
+        self._socket = sock
+        self._usable = True
+        fixed = {"Host": str(address), **headers}
+        self._headers = "".join(f"{name}: {value}\r\n" for name, value in fixed.items())
+
+    @classmethod
+    def connect(
+        cls, address: Address, headers: Mapping[str, str], timeout_s: float
+    ) -> Result["HttpConnection", HttpFailure]:
+        """Opens a connection within `timeout_s` seconds."""
+        try:
+            sock = socket.create_connection((address.host, address.port), max(timeout_s, 0.001))
+        except OSError as error:
+            return Failure(HttpFailure(False, f"connect to {address}: {error}"))
+        sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
+        return Success(cls(sock, address, headers))
+
+    @property
+    def usable(self) -> bool:
+        """Whether a request may be sent: open, idle and without unread input."""
+        return self._usable and self._quiet()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._usable = False
+        self._socket.close()
+
+    def request(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> Result[HttpResponse, HttpFailure]:
+        """Sends one request and reads its response; closes the connection on any failure."""
+        if not self.usable:
+            self.close()
+            return Failure(HttpFailure(False, "connection is closed"))
+        deadline = time.monotonic() + timeout_s
+        # Not usable while a response is outstanding, also when the greenlet is killed meanwhile.
+        self._usable = False
+        try:
+            if not self._send(self._encode(method, path, body), deadline):
+                self.close()
+                return Failure(HttpFailure(False, "connection is closed"))
+            return Success(self._receive(deadline))
+        except (OSError, ValueError, httptools.HttpParserError) as error:
+            self.close()
+            return Failure(HttpFailure(True, f"{method} {path}: {error or type(error).__name__}"))
+        except BaseException:
+            self.close()
+            raise
+
+    def _encode(self, method: str, path: str, body: bytes) -> bytes:
+        head = f"{method} {path} HTTP/1.1\r\n{self._headers}Content-Length: {len(body)}\r\n\r\n"
+        return head.encode("ascii") + body
+
+    def _quiet(self) -> bool:
+        try:
+            # End of stream and unread input both make the connection unusable before a request
+            # leaves on it; that keeps the failure "not sent".
+            self._socket._sock.recv(1, system_socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def _send(self, data: bytes, deadline: float) -> bool:
+        """Returns False if not a byte left; raises where a part may have left."""
+        try:
+            sent = self._socket._sock.send(data)
+        except OSError as error:
+            if error.errno not in _NOT_SENT:
+                return False
+            sent = 0
+        if sent < len(data):
+            self._socket.settimeout(max(deadline - time.monotonic(), 0.001))
+            self._socket.sendall(data[sent:])
+        return True
+
+    def _receive(self, deadline: float) -> HttpResponse:
+        response = _Response()
+        while not response.complete:
+            left = deadline - time.monotonic()
+            if left <= 0:
+                raise TimeoutError("timed out")
+            self._socket.settimeout(left)
+            data = self._socket.recv(READ_BYTES)
+            if not data:
+                raise ConnectionError("connection was closed before the response was complete")
+            response.parser.feed_data(data)
+        if response.excess:
+            raise ValueError("more than one response arrived")
+        if response.keep_alive:
+            self._usable = True
+        else:
+            self.close()
+        return HttpResponse(response.parser.get_status_code(), b"".join(response.chunks))
+
+
+class HttpClient:
+    """Keeps a few connections to one address, so that several requests may run at once."""
+
+    def __init__(self, address: Address, headers: Mapping[str, str]) -> None:
+        self._address = address
+        self._headers = headers
+        self._kept: list[HttpConnection] = []
+
+    def request(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> Result[HttpResponse, HttpFailure]:
+        """Sends one request, at most once, within `timeout_s` seconds."""
+        deadline = time.monotonic() + timeout_s
+        connected = self._take(timeout_s)
+        if isinstance(connected, Failure):
+            return connected
+        connection = connected.unwrap()
+        answer = connection.request(method, path, body, deadline - time.monotonic())
+        if connection.usable and len(self._kept) < MAX_KEPT:
+            self._kept.append(connection)
+        else:
+            connection.close()
+        return answer
+
+    def close(self) -> None:
+        """Closes the kept connections; requests in flight run to their end."""
+        while self._kept:
+            self._kept.pop().close()
+
+    def _take(self, timeout_s: float) -> Result[HttpConnection, HttpFailure]:
+        while self._kept:
+            connection = self._kept.pop()
+            if connection.usable:
+                return Success(connection)
+            connection.close()
+        return HttpConnection.connect(self._address, self._headers, timeout_s)
+
+
+def identity_headers(kind: str, name: str) -> dict[str, str]:
+    """Returns the headers that tell a server which program calls."""
+    return {
+        "Content-Type": "application/json",
+        "X-Client-Kind": kind,
+        "X-Client-Name": name,
+    }
--- /dev/null
+++ b/standins/platform/services.py
@@ -0,0 +1,49 @@
+"""Table service, object store and live list in memory."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from siskindale.platform.interface import Condition, LiveView, Row, Write
+
+
+class Tables:
+    """Rows with a global version; a commit gives all its rows the same new version."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str], Row] = {}
+        self._version = 0
+
+    def read(self, table: str, key: str) -> Row | None:
+        """Returns the present row, None where it is absent."""
+        row = self._rows.get((table, key))
+        return None if row is None or row.deleted else row
+
+    def scan(self, table: str, after_version: int) -> list[Row]:
+        """Returns rows changed after a version, deleted ones included, in order of version."""
+        rows = (row for row in self._rows.values() if row.table == table)
+        return sorted(
+            (row for row in rows if row.version > after_version), key=lambda row: row.version
+        )
+
+    def commit(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> int | Condition:
+        """Returns the new version, or the first condition that does not hold."""
+        for condition in conditions:
+            row = self.read(condition.table, condition.key)
+            if (row.version if row else 0) != condition.version:
+                return condition
+        self._version += 1
+        for write in writes:
+            self._rows[write.table, write.key] = Row(
+                write.table, write.key, self._version, write.value or {}, write.value is None
+            )
+        return self._version
+
+
+@attrs.define
+class Services:
+    """State of the platform."""
+
+    tables: Tables = attrs.field(factory=Tables)
+    objects: dict[str, bytes] = attrs.field(factory=dict)
+    live: LiveView = LiveView(frozenset(), frozenset())
