--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,283 @@
+"""Failures of targets and platform as the drivers report them."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from bench.deployment import GroupStandin, PlatformStandin
+from siskindale.models.bundle import Target
+from siskindale.models.group import LogPosition, Role
+from siskindale.models.settings import Address
+from siskindale.platform.http import http_platform
+from siskindale.platform.interface import Platform, PlatformFailure, Write
+from siskindale.targets.http import HttpTargets
+from siskindale.targets.interface import Begin, Commit, Statement, TargetFailure
+from siskindale.transport.http import HttpConnection, HttpFailure
+
+TIMEOUT_S = 5.0
+CREATE = Statement("CREATE TABLE t (n INTEGER PRIMARY KEY)")
+
+
+def insert(n: int) -> Statement:
+    return Statement("INSERT INTO t VALUES (?)", (n,))
+
+
+def rows(group: GroupStandin, targets: HttpTargets, name: str = "survey-a") -> Any:
+    connection = targets.connect(group.target(name), TIMEOUT_S).unwrap()
+    return connection.run([Statement("SELECT n FROM t")], TIMEOUT_S).unwrap().results[0].rows
+
+
+def test_lost_answer_is_unknown_and_ran(group: GroupStandin, targets: HttpTargets) -> None:
+    """Guards against reporting a write as not run although it took effect."""
+    connection = targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+    connection.run([CREATE], TIMEOUT_S).unwrap()
+    group.faults("survey-a", lose_next_answers=1, lose_paths=["/run"])
+    error = connection.run([insert(1)], TIMEOUT_S).failure()
+    assert (error.kind, connection.usable) == (TargetFailure.UNKNOWN, False)
+    assert connection.run([insert(2)], TIMEOUT_S).failure().kind is TargetFailure.UNREACHABLE
+    assert rows(group, targets) == ((1,),)
+
+
+def test_killed_target_keeps_everything(group: GroupStandin, targets: HttpTargets) -> None:
+    """Guards against a restart that forgets acknowledged entries or the term."""
+    connection = targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+    connection.run([CREATE], TIMEOUT_S).unwrap()
+    connection.run([insert(1)], TIMEOUT_S).unwrap()
+    connection.run([Begin("write"), insert(2)], TIMEOUT_S).unwrap()
+    group.process("survey-a").kill()
+    control = targets.control(group.target("survey-a"))
+    assert control.status(1).failure().kind is TargetFailure.UNREACHABLE
+    # The connection was closed by the kernel before the batch: it did not leave.
+    assert connection.run([Commit()], TIMEOUT_S).failure().kind is TargetFailure.UNREACHABLE
+    group.restart("survey-a")
+    status = control.status(TIMEOUT_S).unwrap()
+    assert (status.role, status.term, status.log) == (Role.PRIMARY, 1, LogPosition(1, 3))
+    assert rows(group, targets) == ((1,),)
+
+
+def test_closed_connection_rolls_back(group: GroupStandin, targets: HttpTargets) -> None:
+    """Guards against a transaction that outlives its connection and blocks all writers."""
+    first = targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+    first.run([CREATE], TIMEOUT_S).unwrap()
+    first.run([Begin("write"), insert(1)], TIMEOUT_S).unwrap()
+    waiting = targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+    assert waiting.run([insert(2)], 0.1).failure().kind is TargetFailure.UNKNOWN
+    last = targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+    running = gevent.spawn(last.run, [insert(3)], TIMEOUT_S)
+    gevent.sleep(0.05)
+    first.close()
+    running.get().unwrap()
+    assert rows(group, targets) == ((3,),)
+
+
+def test_limits_of_connections_and_slots(
+    start_targets: Callable[..., GroupStandin], targets: HttpTargets
+) -> None:
+    """Guards against a stand-in that is more generous than a target."""
+    group = start_targets(connections=3, slots=2, connect_ms=50)
+    started = time.monotonic()
+    opened = [targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap() for _ in range(3)]
+    assert time.monotonic() - started >= 0.15
+    refused = targets.connect(group.target("survey-a"), TIMEOUT_S)
+    assert refused.failure().kind is TargetFailure.LIMIT
+    started = time.monotonic()
+    slow = Statement("/* cost_ms=100 */ SELECT 1")
+    gevent.joinall([gevent.spawn(connection.run, [slow], TIMEOUT_S) for connection in opened])
+    assert 0.2 <= time.monotonic() - started < 0.3
+    opened.pop().close()
+    gevent.sleep(0.05)
+    targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+
+
+def test_idle_connection_is_closed(
+    start_targets: Callable[..., GroupStandin], targets: HttpTargets
+) -> None:
+    """Guards against a forgotten connection that holds its place for ever."""
+    group = start_targets(idle_timeout_s=0.2)
+    connection = targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+    gevent.sleep(0.4)
+    assert not connection.usable
+
+
+def test_fence_aborts_open_writer(group: GroupStandin, targets: HttpTargets) -> None:
+    """Guards against a commit in a term that its target has left."""
+    connection = targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+    connection.run([CREATE], TIMEOUT_S).unwrap()
+    connection.run([Begin("write"), insert(1)], TIMEOUT_S).unwrap()
+    control = targets.control(group.target("survey-a"))
+    assert control.fence(1, TIMEOUT_S).failure().kind is TargetFailure.TERM
+    fenced = control.fence(5, TIMEOUT_S).unwrap()
+    assert (fenced.role, fenced.term, fenced.matched) == (Role.FENCED, 5, False)
+    assert connection.run([Commit()], TIMEOUT_S).failure().kind is TargetFailure.ROLE
+    assert connection.run([insert(2)], TIMEOUT_S).failure().kind is TargetFailure.ROLE
+    assert rows(group, targets) == ()
+    assert control.promote(4, ("survey-a",), 1).failure().kind is TargetFailure.TERM
+    promoted = control.promote(5, ("survey-a",), TIMEOUT_S).unwrap()
+    assert (promoted.voters, promoted.previous_voters) == (("survey-a",), group.group.voters)
+    assert control.promote(5, ("survey-a",), 1).failure().kind is TargetFailure.ROLE
+
+
+def test_ship_and_apply_lag(
+    start_targets: Callable[..., GroupStandin], targets: HttpTargets
+) -> None:
+    """Guards against lags that cannot be told apart: durable is earlier than visible."""
+    group = start_targets(ship_lag_ms=150, apply_lag_ms=200)
+    primary = targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+    started = time.monotonic()
+    primary.run([CREATE], TIMEOUT_S).unwrap()
+    control = targets.control(group.target("survey-b"))
+    status = control.wait_position(1, 2, TIMEOUT_S).unwrap()
+    assert 0.15 <= time.monotonic() - started < 0.3
+    assert (status.log.position, status.applied_position) == (2, 1)
+    while control.status(TIMEOUT_S).unwrap().applied_position < 2:
+        gevent.sleep(0.005)
+    assert 0.35 <= time.monotonic() - started < 0.5
+
+
+def test_wait_position_ends_on_term_change(group: GroupStandin, targets: HttpTargets) -> None:
+    """Guards against waiting for a position that the old term never reaches."""
+    control = targets.control(group.target("survey-b"))
+    waiting = gevent.spawn(control.wait_position, 1, 99, TIMEOUT_S)
+    gevent.sleep(0.05)
+    control.fence(2, TIMEOUT_S).unwrap()
+    assert waiting.get(timeout=0.5).unwrap().term == 2
+    assert control.wait_position(2, 99, 0.3).unwrap().log.position == 1
+
+
+def test_cut_client_kind(group: GroupStandin, targets: HttpTargets) -> None:
+    """Guards against partitions that also isolate clients that should still get through."""
+    pool = targets.control(group.target("survey-a"))
+    controller = HttpTargets("controllers", "vm1").control(group.target("survey-a"))
+    group.faults("survey-a", cut_from=["controllers"])
+    pool.status(TIMEOUT_S).unwrap()
+    assert controller.status(1).failure().kind is TargetFailure.UNKNOWN
+    group.faults("survey-a", cut_from=["controllers"], cut_mode="hang")
+    started = time.monotonic()
+    assert controller.status(0.2).failure().kind is TargetFailure.UNKNOWN
+    assert time.monotonic() - started >= 0.2
+
+
+def test_replica_hears_primary(group: GroupStandin, targets: HttpTargets) -> None:
+    """Guards against a replica that reports contact with a primary that is cut off."""
+    control = targets.control(group.target("survey-b"))
+    gevent.sleep(0.3)
+    assert control.status(TIMEOUT_S).unwrap().primary_heard_ms < 200
+    group.faults("survey-a", cut_from=["survey-b"])
+    gevent.sleep(0.5)
+    assert control.status(TIMEOUT_S).unwrap().primary_heard_ms > 400
+
+
+@pytest.mark.parametrize(
+    ("faults", "kind", "ran"),
+    [
+        ({"down": True}, PlatformFailure.UNAVAILABLE, False),
+        ({"lose_next_answers": 1}, PlatformFailure.UNKNOWN, True),
+        ({"delay_ms": 1500}, PlatformFailure.UNKNOWN, True),
+        ({"cut_from": ["test"]}, PlatformFailure.UNKNOWN, False),
+    ],
+)
+def test_platform_faults(
+    platform: Platform,
+    platform_standin: PlatformStandin,
+    faults: dict[str, Any],
+    kind: PlatformFailure,
+    ran: bool,
+) -> None:
+    """Guards against a platform failure that is reported as harmless although the write ran."""
+    fresh = http_platform(platform_standin.settings("test", timeout_ms=500))
+    platform_standin.faults(**faults)
+    error = fresh.tables.commit([], [Write("t", "k", {"n": 1})]).failure()
+    assert error.kind is kind
+    platform_standin.faults(down=False, delay_ms=0, cut_from=[], lose_next_answers=0)
+    assert (platform.tables.read("t", "k").unwrap() is not None) == ran
+
+
+def test_outage_after_connecting_is_never_resent(
+    platform: Platform, platform_standin: PlatformStandin
+) -> None:
+    """Guards against a kept connection whose loss makes the client send a commit again."""
+    platform.tables.commit([], [Write("t", "k", {"n": 1})]).unwrap()
+    platform_standin.faults(down=True)
+    error = platform.tables.commit([], [Write("t", "k", {"n": 2})]).failure()
+    assert error.kind is PlatformFailure.UNAVAILABLE
+    platform_standin.faults(down=False)
+    assert platform.tables.read("t", "k").unwrap().value == {"n": 1}
+
+
+def reply_with(*chunks: bytes, pause_s: float = 0.0) -> StreamServer:
+    """Returns a started server that answers each connection with fixed bytes."""
+
+    def handle(sock: socket.socket, _: Any) -> None:
+        sock.recv(65536)
+        for chunk in chunks:
+            sock.sendall(chunk)
+            gevent.sleep(pause_s)
+        sock.close()
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    return server
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: "
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        (b"",),
+        (b"garbage\r\n\r\n",),
+        (HEAD + b"10\r\n\r\n{}",),
+        (HEAD + b"2\r\n\r\n[]",),
+        (HEAD + b"2\r\n\r\n{}" + HEAD + b"2\r\n\r\n{}",),
+        (
+            HEAD
+            + b'66\r\n\r\n{"id":2,"results":[],"term":1,"at":{},"role":"primary","matched":true}',
+        ),
+        (b"HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\n{}",),
+        (b"HTTP/1.1 100 Continue\r\n\r\n",),
+    ],
+)
+def test_bad_answers_are_unknown(chunks: tuple[bytes, ...], targets: HttpTargets) -> None:
+    """Guards against a cut, malformed or foreign answer that counts as a result or a refusal."""
+    answers = iter([HEAD + b"2\r\n\r\n{}", *chunks])
+
+    def handle(sock: socket.socket, _: Any) -> None:
+        for answer in answers:
+            sock.recv(65536)
+            sock.sendall(answer)
+        sock.close()
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    address = Address("127.0.0.1", server.server_port)
+    connection = targets.connect(Target("t", "d", address, address), TIMEOUT_S).unwrap()
+    error = connection.run([insert(1)], 1.0).failure()
+    assert (error.kind, connection.usable) == (TargetFailure.UNKNOWN, False)
+    server.stop()
+
+
+def test_slow_answer_times_out_in_total() -> None:
+    """Guards against a timeout that starts again with each byte."""
+    server = reply_with(*(b"HTTP/1.1 200 OK\r\nX: "[i : i + 1] for i in range(20)), pause_s=0.1)
+    address = Address("127.0.0.1", server.server_port)
+    connection = HttpConnection.connect(address, {}, 1.0).unwrap()
+    started = time.monotonic()
+    failure = connection.request("GET", "/", b"", 0.3).failure()
+    assert isinstance(failure, HttpFailure)
+    assert failure.sent
+    assert time.monotonic() - started < 0.5
+    server.stop()
+
+
+def test_refused_connection_is_not_sent(targets: HttpTargets) -> None:
+    """Guards against calling an outcome unknown where nothing was sent."""
+    address = Address("127.0.0.1", 1)
+    target = Target("t", "d", address, address)
+    assert targets.connect(target, 1.0).failure().kind is TargetFailure.UNREACHABLE
+    assert targets.control(target).status(1.0).failure().kind is TargetFailure.UNREACHABLE
