--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,7 @@
-"""Pytest plugin: passes over the tests that KNOWN-RED.txt names, and prints them.
+"""Pytest plugin: passes over the tests that KNOWN-RED.txt names, which .ci/run prints.
 
-Each entry of the file has a line `test: <node id>`; only that exact test is passed over. An entry that
-names no collected test is an error, so that the file cannot go stale.
+Each entry of the file has a line `test: <node id>`; only that exact test is passed over. An entry
+that names no collected test is an error, so that the file cannot go stale.
 """
 
 from pathlib import Path
@@ -30,8 +30,3 @@
         raise pytest.UsageError(f"KNOWN-RED.txt names unknown tests: {', '.join(sorted(missing))}")
     items[:] = [item for item in items if item.nodeid not in names]
     config.hook.pytest_deselected(items=red)
-
-
-def pytest_report_header() -> list[str]:
-    """Prints the tests that are passed over."""
-    return [f"known red, not run: {name}" for name in sorted(known_red())]
