--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' API and forwarding."""
