Add the pool's decisions over tables

Cause: the pool has no code yet. Change: tables, effects and systems for admission, routing, acknowledgement, freshness, transactions, keyed writes, connections and discovery, run by one step function without I/O. Conclusion: not yet driven by a program or tests.

--- /dev/null
+++ b/siskindale/pool/engine.py
@@ -0,0 +1,161 @@
+"""One tick of the pool: events in, decisions over the tables, effects out."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+from siskindale.pool.effects import (
+    BatchEnded,
+    BundleAdopted,
+    ConnectionFailed,
+    ConnectionOpened,
+    DirectoryChanged,
+    Effect,
+    Event,
+    GroupNoticed,
+    RequestArrived,
+    StatusEnded,
+)
+from siskindale.pool.systems import (
+    acknowledgement,
+    admission,
+    completion,
+    connections,
+    discovery,
+    expiry,
+    freshness,
+    intake,
+    pruning,
+    timers,
+    transactions,
+)
+from siskindale.pool.tables import GroupRow, Phase, Tables, TimerKind
+
+MAX_ROUNDS = 8
+
+
+def step(tables: Tables, events: Iterable[Event], now: float, random: Random) -> list[Effect]:
+    """Takes events in, runs what is due and returns the effects to execute."""
+    effects: list[Effect] = []
+    for event in events:
+        effects += _EVENTS[type(event)](tables, event, now, random)
+    for kind, subject in timers.pop_due(tables, now):
+        effects += _TIMERS[kind](tables, subject, now, random)
+    expiry.forget_seen(tables, now)
+    for _ in range(MAX_ROUNDS):
+        if not tables.dirty:
+            break
+        dirty, tables.dirty = tables.dirty, []
+        for group in dirty:
+            group.dirty = False
+            effects += _settle(tables, group, now)
+    return effects
+
+
+def _settle(tables: Tables, group: GroupRow, now: float) -> list[Effect]:
+    """Runs the systems over one changed group."""
+    effects: list[Effect] = []
+    for request in acknowledgement.evaluate(group):
+        effects += completion.confirmed(tables, request, now)
+    if group.parked and group.sampling is None:
+        parked, group.parked = group.parked, []
+        for request in parked:
+            if request.phase is Phase.WAITING:
+                effects += completion.check_age(tables, request, now)
+    effects += freshness.sample(group, now)
+    effects += admission.dispatch(tables, group, now)
+    effects += acknowledgement.confirmations(tables, group, now)
+    effects += pruning.prune(tables, group, now)
+    return effects + connections.maintain(tables, group, now)
+
+
+def _request(tables: Tables, event: RequestArrived, now: float, _: Random) -> list[Effect]:
+    return intake.arrived(tables, event, now)
+
+
+def _batch(tables: Tables, event: BatchEnded, now: float, _: Random) -> list[Effect]:
+    return completion.ended(tables, event, now)
+
+
+def _opened(tables: Tables, event: ConnectionOpened, now: float, _: Random) -> list[Effect]:
+    return connections.opened(tables, event)
+
+
+def _open_failed(
+    tables: Tables, event: ConnectionFailed, now: float, random: Random
+) -> list[Effect]:
+    return connections.failed(tables, event, now, random)
+
+
+def _status(tables: Tables, event: StatusEnded, now: float, _: Random) -> list[Effect]:
+    group = event.target.group
+    term = group.term
+    waiting = discovery.answered(tables, event, now)
+    if group.term == term:
+        return []
+    return completion.term_ended(tables, group, waiting, now)
+
+
+def _noticed(tables: Tables, event: GroupNoticed, now: float, _: Random) -> list[Effect]:
+    group = tables.groups.get(event.group)
+    if group is not None:
+        discovery.noticed(tables, group, event.term, now)
+    return []
+
+
+def _bundle(tables: Tables, event: BundleAdopted, now: float, _: Random) -> list[Effect]:
+    bundle = event.bundle
+    tables.bundle = bundle
+    tables.definitions = {group.name: group for group in bundle.groups}
+    tables.classes = {entry.name: entry for entry in bundle.classes}
+    tables.caller_limits = {caller.name: caller.max_in_flight for caller in bundle.callers}
+    discovery.refresh(tables, now)
+    return []
+
+
+def _directory(tables: Tables, event: DirectoryChanged, now: float, _: Random) -> list[Effect]:
+    tables.ranks, tables.leaving = event.ranks, event.leaving
+    if tables.bundle is not None:
+        discovery.refresh(tables, now)
+    return []
+
+
+_EVENTS: dict[type, Callable[[Tables, Any, float, Random], list[Effect]]] = {
+    RequestArrived: _request,
+    BatchEnded: _batch,
+    ConnectionOpened: _opened,
+    ConnectionFailed: _open_failed,
+    StatusEnded: _status,
+    GroupNoticed: _noticed,
+    BundleAdopted: _bundle,
+    DirectoryChanged: _directory,
+}
+
+
+def _touch(tables: Tables, group: GroupRow, now: float, _: Random) -> list[Effect]:
+    tables.touch(group)
+    return []
+
+
+def _confirm_due(tables: Tables, group: GroupRow, now: float, _: Random) -> list[Effect]:
+    if group.confirm_due <= now:
+        group.confirm_due = float("inf")
+    tables.touch(group)
+    return []
+
+
+def _poll_due(tables: Tables, group: GroupRow, now: float, random: Random) -> list[Effect]:
+    if now < group.poll_due:
+        return []
+    tables.touch(group)
+    return discovery.poll(tables, group, now, random)
+
+
+_TIMERS: dict[TimerKind, Callable[[Tables, Any, float, Random], list[Effect]]] = {
+    TimerKind.DEADLINE: lambda t, row, now, _: expiry.deadline(t, row, now),
+    TimerKind.RETRY: lambda t, row, now, _: admission.retry_due(t, row, now),
+    TimerKind.TRANSACTION: lambda t, row, now, _: transactions.due(t, row, now),
+    TimerKind.CONFIRM: _confirm_due,
+    TimerKind.POLL: _poll_due,
+    TimerKind.OPEN: _touch,
+}
--- /dev/null
+++ b/siskindale/pool/systems/batches.py
@@ -0,0 +1,63 @@
+"""Batches: the steps of each stage, and their start on a connection."""
+
+from siskindale.models.wire import BeginRequest, StatementRequest, TransactionStatement
+from siskindale.pool.effects import Effect, RunBatch
+from siskindale.pool.systems import connections, idempotency
+from siskindale.pool.tables import ConnectionRow, Phase, RequestRow, Stage, Tables
+from siskindale.targets.interface import Begin, Commit, Rollback, Statement, Step
+
+MIN_TIMEOUT_S = 0.001
+CONFIRMED_READS = frozenset({Stage.READ, Stage.KEY_LOOKUP, Stage.TRANSACTION_STATEMENT})
+
+
+def steps(tables: Tables, request: RequestRow, now: float) -> tuple[Step, ...]:
+    """Returns the steps of the request's stage."""
+    body = request.body
+    match request.stage:
+        case Stage.READ | Stage.REPLICA_READ:
+            # Read mode makes the target refuse a statement that changes data.
+            assert isinstance(body, StatementRequest)
+            return (Begin("read"), Statement(body.sql, body.params), Commit())
+        case Stage.WRITE | Stage.TRANSACTION_STATEMENT:
+            assert isinstance(body, StatementRequest | TransactionStatement)
+            return (Statement(body.sql, body.params),)
+        case Stage.BEGIN:
+            assert isinstance(body, BeginRequest)
+            return (Begin("write"),)
+        case Stage.COMMIT:
+            return (Commit(),)
+        case Stage.ROLLBACK:
+            return (Rollback(),)
+        case Stage.SCHEMA:
+            return idempotency.schema_steps()
+        case Stage.PRUNE:
+            return idempotency.prune_steps(idempotency.prune_cutoff_ms(tables, now))
+    return _keyed_steps(request)
+
+
+def _keyed_steps(request: RequestRow) -> tuple[Step, ...]:
+    body = request.body
+    assert isinstance(body, StatementRequest)
+    if request.stage is Stage.KEY_INSERT:
+        return idempotency.insert_steps(body)
+    if request.stage is Stage.KEY_LOOKUP:
+        return idempotency.lookup_steps(body)
+    assert request.result is not None
+    return idempotency.record_steps(body, request.result)
+
+
+def start(
+    tables: Tables, request: RequestRow, connection: ConnectionRow, now: float
+) -> list[Effect]:
+    """Starts the batch of the request's stage on a connection that is reserved for it."""
+    connections.occupy(connection, request)
+    request.phase = Phase.RUNNING
+    request.since = now
+    request.served_by = connection.target.name
+    request.sent = True
+    request.sent_term = request.group.term
+    if request.stage in CONFIRMED_READS:
+        request.group.read_sent_at = max(request.group.read_sent_at, now)
+    tables.touch(request.group)
+    timeout = max(MIN_TIMEOUT_S, request.deadline - now)
+    return [RunBatch(connection, steps(tables, request, now), timeout)]
--- /dev/null
+++ b/siskindale/pool/systems/connections.py
@@ -0,0 +1,162 @@
+"""Connections: the pool's share, opening in advance, reservation and closing."""
+
+from random import Random
+
+from returns.result import Success
+
+from siskindale.pool.effects import (
+    CloseConnection,
+    ConnectionFailed,
+    ConnectionOpened,
+    Effect,
+    OpenConnection,
+)
+from siskindale.pool.systems import timers
+from siskindale.pool.tables import (
+    ConnectionRow,
+    GroupRow,
+    RequestRow,
+    Tables,
+    TargetRow,
+    TimerKind,
+)
+from siskindale.targets.interface import TargetFailure
+
+MAX_OPENING = 4
+OPEN_RETRY_MIN_S = 0.05
+OPEN_RETRY_MAX_S = 1.0
+# A leaving primary works on until the planned promotion, but not beyond the promised 3 s.
+LEAVING_PRIMARY_S = 2.5
+SERVICE_WEIGHT = 0.1
+
+
+def share(limit: int, pools: int, rank: int) -> int:
+    """Returns the part of a limit that the pool of this rank uses; never none.
+
+    The target enforces the limit itself, so a pool without a share may still try one.
+    """
+    return max(1, limit // pools + (1 if rank < limit % pools else 0))
+
+
+def allowed(tables: Tables, target: TargetRow, now: float) -> bool:
+    """Whether new work may go to a target; a leaving one gets none, a leaving primary soon."""
+    if target.leaving_since is None:
+        return True
+    if tables.degraded or target.group.primary is not target:
+        return False
+    return now - target.leaving_since < LEAVING_PRIMARY_S
+
+
+def ready(target: TargetRow) -> bool:
+    """Whether the target has a free slot and an idle connection."""
+    return bool(target.idle) and target.running < target.slots
+
+
+def take(target: TargetRow, request: RequestRow) -> ConnectionRow:
+    """Reserves an idle connection for a request."""
+    connection = target.idle.pop()
+    occupy(connection, request)
+    return connection
+
+
+def occupy(connection: ConnectionRow, request: RequestRow) -> None:
+    """Marks a batch of a request as running on a connection."""
+    connection.busy = True
+    connection.request = request
+    request.connection = connection
+    connection.target.running += 1
+
+
+def finished(connection: ConnectionRow, now: float) -> None:
+    """Marks the batch as answered; the connection stays reserved."""
+    target, request = connection.target, connection.request
+    target.running -= 1
+    connection.busy = False
+    if request is not None:
+        spent = now - request.since
+        target.service_s += SERVICE_WEIGHT * (spent - target.service_s)
+
+
+def release(tables: Tables, connection: ConnectionRow) -> list[Effect]:
+    """Returns a connection outside of a transaction to the idle ones."""
+    connection.request = None
+    connection.transaction = None
+    if connection.closed:
+        return []
+    if (
+        not connection.handle.usable
+        or connection.target.name not in connection.target.group.targets
+    ):
+        return close(tables, connection)
+    connection.target.idle.append(connection)
+    tables.touch(connection.target.group)
+    return []
+
+
+def close(tables: Tables, connection: ConnectionRow) -> list[Effect]:
+    """Closes a connection in whatever state; the target rolls an open transaction back."""
+    if connection.closed:
+        return []
+    target = connection.target
+    if connection.busy:
+        target.running -= 1
+    connection.closed = True
+    connection.busy = False
+    connection.request = None
+    target.open.pop(connection.number, None)
+    tables.connections.pop(connection.number, None)
+    if connection in target.idle:
+        target.idle.remove(connection)
+    tables.touch(target.group)
+    return [CloseConnection(connection)]
+
+
+def opened(tables: Tables, event: ConnectionOpened) -> list[Effect]:
+    """Adds a connection that was opened."""
+    target = event.target
+    target.opening -= 1
+    target.failures = 0
+    connection = ConnectionRow(tables.next_number(), target, event.handle)
+    target.open[connection.number] = connection
+    tables.connections[connection.number] = connection
+    if target.group.targets.get(target.name) is not target:
+        return close(tables, connection)
+    target.idle.append(connection)
+    tables.touch(target.group)
+    return []
+
+
+def failed(tables: Tables, event: ConnectionFailed, now: float, random: Random) -> list[Effect]:
+    """Waits before the next attempt; longer where other pools hold the connections."""
+    target = event.target
+    target.opening -= 1
+    target.failures += 1
+    delay = min(OPEN_RETRY_MAX_S, OPEN_RETRY_MIN_S * 2 ** min(target.failures, 8))
+    if event.error.kind is TargetFailure.LIMIT:
+        delay = OPEN_RETRY_MAX_S
+    target.open_after = now + delay * random.uniform(0.5, 1.0)
+    timers.schedule(tables, target.open_after, TimerKind.OPEN, target.group)
+    return []
+
+
+def maintain(tables: Tables, group: GroupRow, now: float) -> list[Effect]:
+    """Opens missing connections in advance and closes idle ones that are not wanted."""
+    effects: list[Effect] = []
+    for target in group.targets.values():
+        wanted = target.connections if allowed(tables, target, now) else 0
+        surplus = len(target.open) - wanted
+        while surplus > 0 and target.idle:
+            effects += close(tables, target.idle[-1])
+            surplus -= 1
+        if now < target.open_after:
+            continue
+        missing = min(-surplus - target.opening, MAX_OPENING - target.opening)
+        for _ in range(missing):
+            target.opening += 1
+            effects.append(OpenConnection(target))
+    return effects
+
+
+def success(outcome: object) -> bool:
+    """Whether a driver's result is a success."""
+    return isinstance(outcome, Success)
--- /dev/null
+++ b/siskindale/pool/systems/intake.py
@@ -0,0 +1,179 @@
+"""Intake: checks of a request on its arrival, and its row."""
+
+from siskindale.models.bundle import Repeat
+from siskindale.models.outcomes import Outcome, RefusalKind
+from siskindale.models.wire import (
+    BeginRequest,
+    FinishRequest,
+    StatementRequest,
+    TransactionStatement,
+)
+from siskindale.pool import answers
+from siskindale.pool.effects import Effect, Reply, RequestArrived
+from siskindale.pool.systems import (
+    admission,
+    batches,
+    discovery,
+    expiry,
+    freshness,
+    idempotency,
+    timers,
+    transactions,
+)
+from siskindale.pool.tables import (
+    GroupRow,
+    Lane,
+    Phase,
+    RequestRow,
+    Stage,
+    Tables,
+    TimerKind,
+)
+
+Fault = tuple[RefusalKind, str]
+RETRY_HINT_MS = 100
+
+
+def arrived(tables: Tables, event: RequestArrived, now: float) -> list[Effect]:
+    """Admits a request; drops a repeated one and one that comes after its budget."""
+    body = event.body
+    remaining = body.budget_ms / 1000 - event.delay_s
+    if expiry.seen(tables, body.request_id, now + max(remaining, 0.0), now) or remaining <= 0:
+        return []
+    if isinstance(body, StatementRequest | BeginRequest):
+        return _new_work(tables, event, body, now, now + remaining)
+    return _in_transaction(tables, event, body, now, now + remaining)
+
+
+def _refuse(event: RequestArrived, fault: Fault, retry_ms: int | None = None) -> list[Effect]:
+    answer = answers.refusal(event.body.request_id, Outcome.NOT_RUN, *fault, retry_ms)
+    return [Reply(None, event.reply, answer)]
+
+
+def _new_work(
+    tables: Tables,
+    event: RequestArrived,
+    body: StatementRequest | BeginRequest,
+    now: float,
+    deadline: float,
+) -> list[Effect]:
+    fault = _fault(tables, body, now)
+    if fault is not None:
+        return _refuse(event, fault)
+    group = _served_group(tables, body, now)
+    if group is None:
+        return _refuse(event, (RefusalKind.WRONG_POOL, "another pool serves the group"))
+    admission.earn_retries(tables, group)
+    if _over_caller_limit(tables, body.caller):
+        fault = RefusalKind.OVERLOADED, "the caller has too many requests in progress"
+        return _refuse(event, fault, RETRY_HINT_MS)
+    request = _row(tables, event, group, body.statement_class, now, deadline)
+    request.stage, request.lane = _first_stage(tables, request, now)
+    return admission.enqueue(tables, request, now)
+
+
+def _fault(tables: Tables, body: StatementRequest | BeginRequest, now: float) -> Fault | None:
+    """Returns why new work cannot be admitted at all."""
+    if tables.draining:
+        return RefusalKind.SHUTTING_DOWN, "the pool is shutting down"
+    if tables.bundle is None:
+        return RefusalKind.UNAVAILABLE, "the pool has no bundle yet"
+    if body.group not in tables.definitions:
+        return RefusalKind.UNKNOWN_DATABASE, f"there is no database {body.group!r}"
+    known = tables.classes.get(body.statement_class)
+    if known is None:
+        return RefusalKind.MALFORMED, f"there is no class {body.statement_class!r}"
+    if isinstance(body, StatementRequest) and body.access == "read":
+        return None
+    key = body.key if isinstance(body, StatementRequest) else None
+    if known.repeat is Repeat.FORBIDDEN and key is None and isinstance(body, StatementRequest):
+        return RefusalKind.KEY_REQUIRED, "writes of the class need an idempotency key"
+    if tables.degraded and key is None:
+        return RefusalKind.BUNDLE_NOT_CONFIRMED, "the bundle is not confirmed, only keyed writes"
+    if isinstance(body, StatementRequest):
+        return idempotency.key_fault(tables, body, now)
+    if len(tables.transactions) >= tables.settings.pool.max_transactions:
+        return RefusalKind.OVERLOADED, "the pool has too many open transactions"
+    return None
+
+
+def _served_group(
+    tables: Tables, body: StatementRequest | BeginRequest, now: float
+) -> GroupRow | None:
+    assert tables.bundle is not None
+    row = tables.groups.get(body.group)
+    if row is not None and row.rank is not None:
+        return row
+    if not body.excluded_pools:
+        return None
+    rank = discovery.own_rank(tables, body.group, body.excluded_pools)
+    if rank is None or rank >= tables.bundle.pools_per_group:
+        return None
+    return discovery.substitute(tables, tables.definitions[body.group], rank, now)
+
+
+def _over_caller_limit(tables: Tables, caller: str) -> bool:
+    limit = tables.caller_limits.get(caller)
+    return limit is not None and tables.callers.get(caller, 0) >= limit
+
+
+def _row(
+    tables: Tables,
+    event: RequestArrived,
+    group: GroupRow,
+    statement_class: str,
+    now: float,
+    deadline: float,
+) -> RequestRow:
+    row = RequestRow(
+        number=tables.next_number(),
+        body=event.body,
+        reply=event.reply,
+        group=group,
+        statement_class=statement_class,
+        arrived=now,
+        deadline=deadline,
+        lane=Lane.PRIMARY,
+        stage=Stage.WRITE,
+        phase=Phase.WAITING,
+    )
+    tables.requests[row.number] = row
+    caller = event.body.caller
+    tables.callers[caller] = tables.callers.get(caller, 0) + 1
+    timers.schedule(tables, deadline, TimerKind.DEADLINE, row)
+    return row
+
+
+def _first_stage(tables: Tables, request: RequestRow, now: float) -> tuple[Stage, Lane]:
+    body = request.body
+    if isinstance(body, BeginRequest):
+        return Stage.BEGIN, Lane.PRIMARY
+    assert isinstance(body, StatementRequest)
+    if body.access != "read":
+        return (Stage.KEY_INSERT if body.key is not None else Stage.WRITE), Lane.PRIMARY
+    if not body.max_age_ms or tables.degraded:
+        return Stage.READ, Lane.PRIMARY
+    request.max_age_s = body.max_age_ms / 1000
+    freshness.wanted(tables, request.group, request, now)
+    return Stage.REPLICA_READ, Lane.REPLICA
+
+
+def _in_transaction(
+    tables: Tables,
+    event: RequestArrived,
+    body: TransactionStatement | FinishRequest,
+    now: float,
+    deadline: float,
+) -> list[Effect]:
+    """Runs at once: an open transaction holds locks, so it goes before queued work."""
+    found = transactions.find(tables, body)
+    if not isinstance(found, transactions.TransactionRow):
+        return [Reply(None, event.reply, found)]
+    row = _row(tables, event, found.group, found.statement_class, now, min(deadline, found.limit))
+    row.transaction = found
+    found.request = row
+    if isinstance(body, TransactionStatement):
+        row.stage = Stage.TRANSACTION_STATEMENT
+    else:
+        row.stage = Stage.COMMIT if body.commit else Stage.ROLLBACK
+    return batches.start(tables, row, found.connection, now)
