--- /dev/null
+++ b/siskindale/runtime/commands.py
@@ -0,0 +1,90 @@
+"""Command lines of the programs: definition with typer, errors as `program: error: …`."""
+
+import contextlib
+from collections.abc import Callable, Iterable, Sequence
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from returns.result import Success
+
+from siskindale import __version__
+from siskindale.config.loader import load_settings
+from siskindale.context import Environment
+from siskindale.exits import ExitStatus
+from siskindale.models.settings import Settings
+
+Serve = Callable[[Settings, Environment], ExitStatus]
+
+
+def print_errors(env: Environment, problems: Iterable[object]) -> None:
+    """Prints one line for each problem on standard error."""
+    for problem in problems:
+        print(f"{env.program}: error: {problem}", file=env.stderr)
+
+
+def invoke(app: typer.Typer, args: Sequence[str], env: Environment) -> ExitStatus:
+    """Runs a command; a wrong command line prints an error and gives `INVALID_INPUT`.
+
+    Commands get the environment as `context.obj` and return an `ExitStatus`.
+    """
+    command = typer.main.get_command(app)
+    with contextlib.redirect_stdout(env.stdout), contextlib.redirect_stderr(env.stderr):
+        try:
+            status = command.main(
+                args=list(args), prog_name=env.program, standalone_mode=False, obj=env
+            )
+        except typer.Exit as exit_:
+            return ExitStatus(exit_.exit_code)
+        except typer.Abort:
+            return ExitStatus.ERROR
+        except typer.TyperException as error:
+            print_errors(env, [getattr(error, "format_message", error.__str__)()])
+            return ExitStatus.INVALID_INPUT
+    return ExitStatus.SUCCESS if status is None else ExitStatus(status)
+
+
+def print_version(wanted: bool) -> None:
+    """Callback of `--version`."""
+    if wanted:
+        typer.echo(__version__)
+        raise typer.Exit
+
+
+SettingsOption = Annotated[Path | None, typer.Option(help="Settings file of this VM.")]
+VersionOption = Annotated[
+    bool,
+    typer.Option("--version", callback=print_version, is_eager=True, help="Print the version."),
+]
+
+
+def program_app(serve: Serve, summary: str) -> typer.Typer:
+    """Returns the command line of a program: `--settings FILE` and `check-settings FILE`."""
+    app = typer.Typer(help=summary, add_completion=False, pretty_exceptions_enable=False)
+
+    @app.callback(invoke_without_command=True)
+    def run(
+        context: typer.Context,
+        settings: SettingsOption = None,
+        version: VersionOption = False,
+    ) -> ExitStatus | None:
+        if context.invoked_subcommand is not None:
+            return None
+        if settings is None:
+            raise typer.BadParameter("--settings FILE is missing")
+        return _with_settings(settings, context.obj, serve)
+
+    @app.command("check-settings")
+    def check_settings(context: typer.Context, file: Path) -> ExitStatus:
+        """Check a settings file and print every finding."""
+        return _with_settings(file, context.obj, lambda _, __: ExitStatus.SUCCESS)
+
+    return app
+
+
+def _with_settings(path: Path, env: Environment, serve: Serve) -> ExitStatus:
+    loaded = load_settings(path)
+    if isinstance(loaded, Success):
+        return serve(loaded.unwrap(), env)
+    print_errors(env, loaded.failure())
+    return ExitStatus.INVALID_INPUT
--- a/siskindale/runtime/health.py
+++ b/siskindale/runtime/health.py
@@ -1,6 +1,7 @@
-"""Health server of a program: `/healthz`, `/readyz` and `/metrics`."""
+"""Health server of a program: `/healthz`, `/readyz`, `/metrics` and reports for operators."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
 
 import falcon
 import prometheus_client
@@ -9,6 +10,7 @@
 from siskindale.models.settings import Address
 
 Readiness = Callable[[], Sequence[str]]
+Report = Callable[[], Mapping[str, Any]]
 
 
 class _Health:
@@ -35,14 +37,28 @@
         response.data = prometheus_client.generate_latest(self._registry)
 
 
+class _Report:
+    def __init__(self, report: Report) -> None:
+        self._report = report
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        response.media = dict(self._report())
+
+
 def health_server(
     address: Address,
     readiness: Readiness,
     registry: prometheus_client.CollectorRegistry = prometheus_client.REGISTRY,
+    reports: Mapping[str, Report] | None = None,
 ) -> WSGIServer:
-    """Returns a server that is not started; `readiness` lists why the program is not ready."""
+    """Returns a server that is not started; `readiness` lists why the program is not ready.
+
+    `reports` are JSON documents by path.
+    """
     app: falcon.App = falcon.App()
     app.add_route("/healthz", _Health())
     app.add_route("/readyz", _Ready(readiness))
     app.add_route("/metrics", _Metrics(registry))
+    for path, report in (reports or {}).items():
+        app.add_route(path, _Report(report))
     return WSGIServer((address.host, address.port), app, log=None, error_log=None)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,75 @@
+"""Command lines shared by the programs."""
+
+import io
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from siskindale import __version__
+from siskindale.context import Environment
+from siskindale.exits import ExitStatus
+from siskindale.models.settings import Settings
+from siskindale.runtime.commands import invoke, program_app
+
+ADDRESS = {"host": "127.0.0.1", "port": 1}
+SETTINGS: dict[str, Any] = {
+    "vm": "vm1",
+    "failure_domain": "devin",
+    "platform": {"tables": ADDRESS, "objects": ADDRESS, "live_list": ADDRESS},
+    "session_keys": [{"id": "a", "secret": "00" * 32}],
+    "trust": {"signers": []},
+    "entry": {"listen": ADDRESS, "inbox": ADDRESS, "health": ADDRESS},
+    "pool": {"inbox": ADDRESS, "health": ADDRESS},
+    "controller": {"inbox": ADDRESS, "health": ADDRESS},
+}
+
+
+def call(*args: str) -> tuple[ExitStatus, str, str]:
+    """Runs the command line of a program that only reports that it was started."""
+
+    def serve(settings: Settings, env: Environment) -> ExitStatus:
+        print(f"served {settings.vm}", file=env.stdout)
+        return ExitStatus.SUCCESS
+
+    env = Environment(stdout=io.StringIO(), stderr=io.StringIO(), program="siskindale-entry")
+    status = invoke(program_app(serve, "Summary."), args, env)
+    return status, env.stdout.getvalue(), env.stderr.getvalue()  # type: ignore[attr-defined]
+
+
+def write(path: Path, **changes: Any) -> str:
+    """Writes the settings with changes and returns the file's name."""
+    path.write_text(json.dumps(SETTINGS | changes))
+    return str(path)
+
+
+def test_good_settings_are_served_and_checked(tmp_path: Path) -> None:
+    """Guards against a check that accepts other settings than the program."""
+    good = write(tmp_path / "settings.json")
+    assert call("--settings", good) == (ExitStatus.SUCCESS, "served vm1\n", "")
+    assert call("check-settings", good) == (ExitStatus.SUCCESS, "", "")
+
+
+@pytest.mark.parametrize("command", ["--settings", "check-settings"])
+def test_bad_settings_print_every_finding(tmp_path: Path, command: str) -> None:
+    """Guards against operators that correct one fault at a time, and against tracebacks."""
+    bad = write(tmp_path / "settings.json", vm=None, pool={"inbox": ADDRESS}, color="red")
+    status, _, errors = call(command, bad)
+    assert status == ExitStatus.INVALID_INPUT
+    assert len(errors.splitlines()) >= 2
+    assert all(line.startswith("siskindale-entry: error: ") for line in errors.splitlines())
+
+
+@pytest.mark.parametrize("args", [[], ["--sttings", "x"], ["check-settings"], ["--settings", "/x"]])
+def test_wrong_command_line_is_one_line(args: list[str]) -> None:
+    """Guards against a traceback for a mistyped command line."""
+    status, _, errors = call(*args)
+    assert status == ExitStatus.INVALID_INPUT
+    assert errors.startswith("siskindale-entry: error: ")
+
+
+def test_version_and_help() -> None:
+    """Guards against a version that only the package metadata knows."""
+    assert call("--version") == (ExitStatus.SUCCESS, f"{__version__}\n", "")
+    assert "check-settings" in call("--help")[1]
