Follow the bundle head and verify bodies before adoption

Programs need the bundle in effect, its confirmation age and changes of it. BundleFollower polls the head, fetches bodies from the object store only and moves forward only.

Interface change: models/wire.py gets HeadRequest. A notice that waited in a queue while the sender was unreachable is the first message of that sender at a restarted receiver and therefore seems to have no delay, so a pushed age is not a safe bound. Peers are asked instead, and only while the table service does not respond; the age then counts from the time of the request.

--- /dev/null
+++ b/siskindale/bundles/following.py
@@ -0,0 +1,249 @@
+"""Following of the bundle head by a running program.
+
+The table service is polled; peers pass new heads on and are asked for their confirmation when the
+table service does not respond. A peer only names a digest: bodies come from the object store alone
+and are verified before they are adopted, so a peer cannot introduce a bundle.
+"""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+import gevent
+from gevent.event import Event
+from returns.result import Failure
+
+from siskindale.bundles import heads, metrics, signing
+from siskindale.bundles.heads import Head, HeadState
+from siskindale.context import Clock
+from siskindale.membership.directory import Directory
+from siskindale.models.bundle import Bundle, Durations
+from siskindale.models.settings import Settings
+from siskindale.models.wire import HeadNotice, HeadRequest
+from siskindale.platform.interface import Platform
+from siskindale.runtime.logs import logger
+from siskindale.transport.mailbox import Delivery, Mailbox
+
+HEAD_TABLE = "bundle_head"
+HEAD_KEY = "head"
+
+# One burst of connections stays small on a node; receivers pass a new head on.
+NOTICE_PEERS = 64
+CONFIRMATION_PEERS = 2
+POLL_JITTER = 0.1
+REQUEST_LIMIT_S = 10.0
+
+Listener = Callable[[Bundle], None]
+
+
+class BundleFollower:
+    """Keeps the program's bundle current; it only moves forward in version."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform,
+        mailbox: Mailbox,
+        directory: Directory,
+        clock: Clock,
+        random: Random | None = None,
+    ) -> None:
+        self._trust = settings.trust
+        self._platform = platform
+        self._mailbox = mailbox
+        self._directory = directory
+        self._clock = clock
+        self._random = random or Random()
+        self._state = HeadState(started_at=clock.monotonic())
+        self._bundle: Bundle | None = None
+        self._listeners: list[Listener] = []
+        self._requests: dict[int, float] = {}
+        self._changed = Event()
+        self._greenlets: list[gevent.Greenlet] = []
+        mailbox.on(HeadNotice, self._on_notice)
+        mailbox.on(HeadRequest, self._on_request)
+
+    @property
+    def current(self) -> Bundle | None:
+        """Bundle in effect, None before the first one."""
+        return self._bundle
+
+    @property
+    def digest(self) -> str:
+        """SHA-256 of the body of the bundle in effect, empty before the first one."""
+        return self._state.adopted.digest if self._state.adopted else ""
+
+    @property
+    def ready(self) -> bool:
+        """Whether a bundle is in effect."""
+        return self._bundle is not None
+
+    @property
+    def confirmation_age_s(self) -> float:
+        """Seconds since the store confirmed the head, infinite if it never did."""
+        return heads.confirmation_age(self._state, self._clock.monotonic())
+
+    @property
+    def degraded(self) -> bool:
+        """Whether the latest confirmation is older than the limit."""
+        return self.confirmation_age_s * 1000 > self._durations.head_confirmation_limit_ms
+
+    def subscribe(self, listener: Listener) -> None:
+        """Calls `listener`, which must not block, with the bundle in effect and each later one."""
+        self._listeners.append(listener)
+        if self._bundle is not None:
+            listener(self._bundle)
+
+    def start(self) -> None:
+        """Starts polling and fetching."""
+        self._greenlets = [gevent.spawn(self._poll_forever), gevent.spawn(self._fetch_forever)]
+
+    def stop(self) -> None:
+        """Stops polling and fetching; the bundle in effect stays."""
+        gevent.killall(self._greenlets)
+
+    def poll(self) -> bool:
+        """Reads the head once; asks peers if the store does not respond. Returns whether it did."""
+        sent_at = self._clock.monotonic()
+        found = self._platform.tables.read(HEAD_TABLE, HEAD_KEY)
+        if isinstance(found, Failure):
+            metrics.STORE_FAILURES.labels("tables").inc()
+            logger().warning("bundle-head-unreadable", reason=found.failure().detail)
+            self._ask_peers()
+            return False
+        row = found.unwrap()
+        if row is not None:
+            self._observe(Head(row.value["version"], row.value["digest"]), sent_at, "store")
+        return True
+
+    def fetch(self) -> bool:
+        """Fetches and adopts the wanted bundle if that is due; returns whether it was adopted."""
+        due = heads.fetch_due(self._state)
+        head = self._state.wanted
+        if head is None or due is None or due > self._clock.monotonic():
+            return False
+        found = self._platform.objects.get(head.digest)
+        if isinstance(found, Failure):
+            metrics.STORE_FAILURES.labels("objects").inc()
+            logger().warning("bundle-body-unreadable", reason=found.failure().detail)
+            heads.fetch_failed(self._state, head, self._clock.monotonic())
+            return False
+        return self._take(head, found.unwrap())
+
+    @property
+    def _durations(self) -> Durations:
+        return self._bundle.durations if self._bundle else Durations()
+
+    def _poll_forever(self) -> None:
+        while True:
+            began = self._clock.monotonic()
+            try:
+                self.poll()
+            except Exception:
+                logger().exception("bundle-poll-failed")
+            metrics.CONFIRMATION_AGE.set(self.confirmation_age_s)
+            period = self._durations.head_poll_ms / 1000
+            period *= 1 + self._random.uniform(-POLL_JITTER, POLL_JITTER)
+            gevent.sleep(max(0.0, began + period - self._clock.monotonic()))
+
+    def _fetch_forever(self) -> None:
+        while True:
+            self._changed.clear()
+            try:
+                self.fetch()
+            except Exception:
+                logger().exception("bundle-fetch-failed")
+                gevent.sleep(heads.FETCH_RETRY_S)
+            due = heads.fetch_due(self._state)
+            wait = None if due is None else max(0.0, due - self._clock.monotonic())
+            self._changed.wait(wait)
+
+    def _take(self, head: Head, content: bytes | None) -> bool:
+        if content is None:
+            self._reject(head, "the object store has no such body", permanent=False)
+            return False
+        opened = signing.open_body(content, head.digest, self._trust)
+        if isinstance(opened, Failure):
+            self._reject(head, opened.failure(), permanent=True)
+            return False
+        bundle = opened.unwrap().bundle
+        if bundle.version != head.version:
+            self._reject(head, f"the body has version {bundle.version}", permanent=True)
+            return False
+        return self._adopt(head, bundle)
+
+    def _adopt(self, head: Head, bundle: Bundle) -> bool:
+        if not heads.adopt(self._state, head, self._clock.monotonic()):
+            return False
+        self._bundle = bundle
+        metrics.VERSION.set(bundle.version)
+        logger().info("bundle-adopted", version=head.version, digest=head.digest)
+        self._notify(self._sample(self._peers(), NOTICE_PEERS))
+        for listener in self._listeners:
+            self._call(listener, bundle)
+        return True
+
+    def _call(self, listener: Listener, bundle: Bundle) -> None:
+        try:
+            listener(bundle)
+        except Exception:
+            logger().exception("bundle-listener-failed", version=bundle.version)
+
+    def _reject(self, head: Head, reason: str, permanent: bool) -> None:
+        metrics.REJECTIONS.inc()
+        logger().error("bundle-rejected", version=head.version, digest=head.digest, reason=reason)
+        heads.reject(self._state, head, permanent)
+
+    def _observe(self, head: Head, confirmed_at: float | None, source: str) -> None:
+        if not heads.observe(self._state, head, confirmed_at, self._clock.monotonic()):
+            metrics.CONTRADICTIONS.inc()
+            logger().error(
+                "bundle-head-contradicts",
+                source=source,
+                version=head.version,
+                digest=head.digest,
+                adopted=self._state.adopted,
+            )
+        if self._state.wanted is not None:
+            self._changed.set()
+
+    def _on_notice(self, delivery: Delivery) -> None:
+        notice: HeadNotice = delivery.body
+        asked_at = self._requests.pop(delivery.envelope.correlation_id, None)
+        confirmed_at = None if asked_at is None else asked_at - notice.age_ms / 1000
+        self._observe(Head(notice.version, notice.digest), confirmed_at, delivery.envelope.reply_to)
+
+    def _on_request(self, delivery: Delivery) -> None:
+        envelope = delivery.envelope
+        notice = self._notice()
+        if notice is not None:
+            self._mailbox.send(
+                envelope.reply_to, notice, envelope.correlation_id, envelope.sender_boot
+            )
+
+    def _notice(self) -> HeadNotice | None:
+        head = self._state.adopted
+        if head is None:
+            return None
+        return HeadNotice(head.version, head.digest, self.confirmation_age_s * 1000)
+
+    def _notify(self, urls: Iterable[str]) -> None:
+        notice = self._notice()
+        for url in urls:
+            self._mailbox.send(url, notice)
+
+    def _ask_peers(self) -> None:
+        now = self._clock.monotonic()
+        self._requests = {c: t for c, t in self._requests.items() if t > now - REQUEST_LIMIT_S}
+        own = set(self._directory.own.inboxes)
+        peers = self._peers()
+        others = self._sample([url for url in peers if url not in own], CONFIRMATION_PEERS)
+        for url in [*(url for url in peers if url in own), *others]:
+            correlation = self._mailbox.next_correlation()
+            self._requests[correlation] = now
+            self._mailbox.send(url, HeadRequest(), correlation)
+
+    def _peers(self) -> list[str]:
+        return [url for url in self._directory.peers if url != self._mailbox.url]
+
+    def _sample(self, urls: list[str], count: int) -> list[str]:
+        return self._random.sample(urls, min(count, len(urls)))
--- a/siskindale/models/wire.py
+++ b/siskindale/models/wire.py
@@ -153,6 +153,15 @@
     age_ms: float
 
 
+@message("head-request")
+@attrs.frozen
+class HeadRequest:
+    """Asks a peer for a `HeadNotice` with the same correlation id.
+
+    Only an answered notice proves an age: time in queues before it counts from the request on.
+    """
+
+
 @message("sight-request")
 @attrs.frozen
 class SightRequest:
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of outside systems for tests without I/O."""
