--- /dev/null
+++ b/tests/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Bundles: signing, rolling, following, audit."""
--- /dev/null
+++ b/tests/bundles/test_following.py
@@ -0,0 +1,320 @@
+"""Following of the bundle head by running programs."""
+
+import attrs
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from siskindale.bundles import signing
+from siskindale.bundles.following import HEAD_KEY, HEAD_TABLE, BundleFollower
+from siskindale.membership.directory import Directory, member_of, to_row
+from siskindale.models.bundle import Bundle, SignedBundle
+from siskindale.models.settings import Settings
+from siskindale.models.wire import HeadNotice
+from siskindale.platform.interface import LiveView, Write
+from tests.fakes.clock import FakeClock
+from tests.fakes.mailbox import FakeMailbox, FakeNetwork
+from tests.fakes.platform import FakePlatform
+from tests.fakes.settings import bundle, signed, vm_settings
+
+LIMIT_S = 5.0
+
+
+class Deployment:
+    """Followers of several VMs, one program each, over one fake platform."""
+
+    def __init__(self, vms: int = 3, required_signatures: int = 1) -> None:
+        self.clock = FakeClock()
+        self.platform = FakePlatform()
+        self.network = FakeNetwork()
+        self.settings = [vm_settings(i, required_signatures) for i in range(vms)]
+        for settings in self.settings:
+            row = to_row(member_of(settings))
+            self.platform.commit([], [Write("members", settings.vm, row)])
+        live = frozenset(settings.vm for settings in self.settings)
+        self.platform.live = LiveView(live, frozenset())
+        self.accepted: list[tuple[float, int]] = []
+        self.followers = [self._start(settings) for settings in self.settings]
+
+    def restart(self, index: int) -> None:
+        """Replaces a program by a new one without memory."""
+        self.followers[index] = self._start(self.settings[index])
+
+    def roll(self, version: int, body: SignedBundle | None = None) -> HeadNotice:
+        """Stores a body and moves the head to it, as the operators' command does."""
+        content = signing.canonical(body or signed(bundle(version)))
+        digest = signing.digest_of(content)
+        self.platform.objects[digest] = content
+        head = {"version": version, "digest": digest}
+        self.platform.commit([], [Write(HEAD_TABLE, HEAD_KEY, head)])
+        self.accepted.append((self.clock.now, version))
+        return HeadNotice(version, digest, 0.0)
+
+    def step(self, index: int) -> None:
+        """Polls once and fetches what is wanted."""
+        self.followers[index].poll()
+        self.followers[index].fetch()
+
+    def refuse_tables(self, index: int) -> None:
+        """Lets one program ask its peers, as it does when the table service does not respond."""
+        self.platform.faults.tables_down = True
+        self.followers[index].poll()
+        self.platform.faults.tables_down = False
+
+    def notify(self, index: int, notice: HeadNotice) -> None:
+        """Sends a notice that was not asked for."""
+        sender = FakeMailbox(self.network, "tcp://127.0.0.1:9")
+        sender.send(self.settings[index].pool.inbox.inbox_url, notice)
+        self.network.deliver_all()
+
+    def _start(self, settings: Settings) -> BundleFollower:
+        mailbox = FakeMailbox(self.network, settings.pool.inbox.inbox_url)
+        directory = Directory(settings, self.platform.as_platform())
+        directory.refresh()
+        return BundleFollower(
+            settings, self.platform.as_platform(), mailbox, directory, self.clock  # type: ignore
+        )
+
+
+def test_new_head_reaches_others_by_notice() -> None:
+    """Guards against a roll-out that waits for the next poll of each program."""
+    deployment = Deployment()
+    deployment.roll(1)
+    for index in range(3):
+        deployment.step(index)
+    deployment.roll(2)
+    deployment.step(0)
+    deployment.network.deliver_all()
+    assert deployment.followers[2].fetch()
+    assert deployment.followers[2].current == bundle(2)
+
+
+def test_new_head_is_passed_on_once() -> None:
+    """Guards against notices that circulate for ever."""
+    deployment = Deployment()
+    deployment.roll(1)
+    for _ in range(3):
+        for index in range(3):
+            deployment.step(index)
+            deployment.network.deliver_all()
+    sent = len(deployment.network.queue)
+    deployment.step(0)
+    assert len(deployment.network.queue) == sent == 0
+
+
+@pytest.mark.parametrize(
+    ("signers", "required"), [(("mallory",), 1), (("vesela", "vesela"), 2), (("vesela",), 2)]
+)
+def test_body_without_enough_signatures_is_not_adopted(
+    signers: tuple[str, ...], required: int
+) -> None:
+    """Guards against one operator, or a stranger, introducing a bundle alone."""
+    deployment = Deployment(required_signatures=required)
+    deployment.roll(1, signed(bundle(1), *signers))
+    deployment.step(0)
+    assert deployment.followers[0].current is None
+
+
+def test_changed_body_is_not_adopted() -> None:
+    """Guards against content of the object store that is not what the head names."""
+    deployment = Deployment()
+    notice = deployment.roll(1)
+    deployment.platform.objects[notice.digest] += b" "
+    deployment.step(0)
+    assert not deployment.followers[0].ready
+
+
+def test_signature_of_another_bundle_is_not_valid() -> None:
+    """Guards against a signature carried over to changed content."""
+    deployment = Deployment()
+    deployment.roll(1, attrs.evolve(signed(bundle(1)), bundle=bundle(1, pools_per_group=3)))
+    deployment.step(0)
+    assert not deployment.followers[0].ready
+
+
+def test_invented_notice_changes_nothing() -> None:
+    """Guards against a faulty peer that blocks later versions with a head nobody accepted."""
+    deployment = Deployment()
+    deployment.roll(1)
+    deployment.step(0)
+    deployment.notify(0, HeadNotice(999, "0" * 64, 0.0))
+    deployment.followers[0].fetch()
+    deployment.roll(2)
+    deployment.step(0)
+    assert deployment.followers[0].current == bundle(2)
+    assert not deployment.followers[0].degraded
+
+
+def test_degraded_after_the_limit_and_back() -> None:
+    """Guards against work by a bundle that may have been replaced without notice."""
+    deployment = Deployment(vms=1)
+    deployment.roll(1)
+    deployment.step(0)
+    follower = deployment.followers[0]
+    deployment.platform.faults.tables_down = True
+    deployment.clock.now += LIMIT_S
+    deployment.step(0)
+    assert not follower.degraded
+    deployment.clock.now += 0.1
+    assert follower.degraded
+    deployment.platform.faults.tables_down = False
+    deployment.step(0)
+    assert not follower.degraded
+
+
+def test_peer_confirms_while_the_store_is_unreachable() -> None:
+    """Guards against degraded mode on a VM that alone has lost the store."""
+    deployment = Deployment()
+    deployment.roll(1)
+    for index in range(3):
+        deployment.step(index)
+    deployment.clock.now += 6
+    deployment.step(1)
+    deployment.step(2)
+    for _ in range(20):  # Each poll asks two random programs of which one in three answers here.
+        deployment.refuse_tables(0)
+        deployment.network.deliver_all()
+    assert not deployment.followers[0].degraded
+
+
+def test_late_answer_of_a_peer_confirms_only_its_time() -> None:
+    """Guards against an answer that waited in a queue counting as fresh."""
+    deployment = Deployment()
+    deployment.roll(1)
+    for index in range(3):
+        deployment.step(index)
+    deployment.network.deliver_all()
+    for _ in range(20):
+        deployment.refuse_tables(0)
+    deployment.clock.now += 6
+    deployment.network.deliver_all()
+    assert deployment.followers[0].degraded
+
+
+def test_bodies_come_from_the_object_store_only() -> None:
+    """Guards against a peer that introduces content while the object store is down."""
+    deployment = Deployment()
+    deployment.roll(1)
+    for index in range(3):
+        deployment.step(index)
+    notice = deployment.roll(2)
+    deployment.step(1)
+    deployment.platform.faults.objects_down = True
+    deployment.notify(0, notice)
+    deployment.clock.now += LIMIT_S + 0.1
+    deployment.step(0)
+    follower = deployment.followers[0]
+    assert (follower.current, follower.degraded) == (bundle(1), True)
+    deployment.platform.faults.objects_down = False
+    deployment.clock.now += 2.5
+    deployment.step(0)
+    assert (follower.current, follower.degraded) == (bundle(2), False)
+
+
+def test_start_on_the_word_of_an_outdated_peer_is_refused() -> None:
+    """Guards against a restart that goes back to the bundle of a peer without the store."""
+    deployment = Deployment(vms=2)
+    deployment.roll(1)
+    deployment.step(0)
+    deployment.step(1)
+    deployment.network.queue.clear()
+    deployment.roll(2)
+    deployment.step(0)
+    deployment.network.queue.clear()
+    deployment.platform.faults.tables_down = True
+    deployment.clock.now += 1
+    deployment.restart(0)
+    for _ in range(20):
+        deployment.followers[0].poll()
+        deployment.network.deliver_all()
+        deployment.followers[0].fetch()
+    assert not deployment.followers[0].ready
+
+
+def test_listeners_get_the_bundle_in_effect_and_later_ones() -> None:
+    """Guards against a part of a program that keeps an old bundle, or stops the others."""
+    deployment = Deployment(vms=1)
+    follower = deployment.followers[0]
+    seen: list[Bundle] = []
+    follower.subscribe(lambda _: 1 / 0)  # type: ignore[arg-type,return-value]
+    follower.subscribe(seen.append)
+    deployment.roll(1)
+    deployment.step(0)
+    deployment.roll(2)
+    deployment.step(0)
+    late: list[Bundle] = []
+    follower.subscribe(late.append)
+    assert [b.version for b in (*seen, *late)] == [1, 2, 2]
+
+
+class FollowingMachine(RuleBasedStateMachine):
+    """Rolls, polls, outages, restarts and any order and loss of messages over three programs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.deployment = Deployment()
+        self.highest = [0, 0, 0]
+
+    programs = st.integers(0, 2)
+
+    @rule()
+    def roll(self) -> None:
+        """Accepts the next version."""
+        self.deployment.roll(len(self.deployment.accepted) + 1)
+
+    @rule(index=programs)
+    def poll(self, index: int) -> None:
+        """Polls the head, possibly in vain."""
+        self.deployment.followers[index].poll()
+
+    @rule(index=programs)
+    def fetch(self, index: int) -> None:
+        """Fetches the wanted body, possibly in vain."""
+        self.deployment.followers[index].fetch()
+
+    @rule(index=programs)
+    def restart(self, index: int) -> None:
+        """Replaces a program; it keeps nothing."""
+        self.deployment.restart(index)
+
+    @rule(tables=st.booleans(), objects=st.booleans())
+    def set_outage(self, tables: bool, objects: bool) -> None:
+        """Starts or ends outages."""
+        faults = self.deployment.platform.faults
+        faults.tables_down, faults.objects_down = tables, objects
+
+    @precondition(lambda self: self.deployment.network.queue)
+    @rule(data=st.data(), lost=st.booleans())
+    def deliver(self, data: st.DataObject, lost: bool) -> None:
+        """Delivers or loses any message."""
+        queue = self.deployment.network.queue
+        index = data.draw(st.integers(0, len(queue) - 1))
+        queue.pop(index) if lost else self.deployment.network.deliver(index)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 3.0, 6.0]))
+    def advance(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.deployment.clock.now += seconds
+
+    @invariant()
+    def versions_never_decrease(self) -> None:
+        """Guards against an older bundle after a newer one, also over restarts."""
+        for index, follower in enumerate(self.deployment.followers):
+            if follower.current is not None:
+                assert follower.current.version >= self.highest[index]
+                self.highest[index] = follower.current.version
+
+    @invariant()
+    def confirmed_bundle_was_the_head(self) -> None:
+        """Guards against a program that trusts a bundle replaced before the limit."""
+        for follower in self.deployment.followers:
+            if follower.current is None or follower.degraded:
+                continue
+            known_since = self.deployment.clock.now - LIMIT_S
+            earlier = [v for at, v in self.deployment.accepted if at < known_since]
+            assert follower.current.version >= max(earlier, default=0)
+
+
+TestFollowing = FollowingMachine.TestCase
+TestFollowing.settings = hypothesis_settings(max_examples=80, stateful_step_count=50, deadline=None)
--- /dev/null
+++ b/tests/fakes/mailbox.py
@@ -0,0 +1,69 @@
+"""In-memory message exchange in which a test delivers, drops and reorders each message."""
+
+import itertools
+
+import attrs
+import msgspec
+
+from siskindale.models.wire import Body, Envelope
+from siskindale.transport.mailbox import Delivery, Handler
+
+
+@attrs.define
+class FakeNetwork:
+    """Messages on their way, in order of sending."""
+
+    mailboxes: dict[str, "FakeMailbox"] = attrs.field(factory=dict)
+    queue: list[tuple[str, Envelope, Body]] = attrs.field(factory=list)
+
+    def deliver(self, index: int = 0) -> None:
+        """Delivers one message; it is lost if the receiver is gone or restarted."""
+        url, envelope, body = self.queue.pop(index)
+        receiver = self.mailboxes.get(url)
+        if receiver is None or envelope.addressed_boot not in ("", receiver.boot):
+            return
+        handler = receiver.handlers.get(type(body).kind)  # type: ignore[attr-defined]
+        if handler:
+            handler(Delivery(envelope, body, 0.0))
+
+    def deliver_all(self) -> None:
+        """Delivers until no message is on its way."""
+        while self.queue:
+            self.deliver()
+
+
+class FakeMailbox:
+    """Same interface as `Mailbox` over a `FakeNetwork`."""
+
+    _boots = itertools.count(1)
+
+    def __init__(self, network: FakeNetwork, url: str) -> None:
+        self.url = url
+        self.boot = f"boot{next(self._boots)}"
+        self.handlers: dict[str, Handler] = {}
+        self._network = network
+        self._correlation = itertools.count(1)
+        network.mailboxes[url] = self
+
+    def on(self, body_type: type, handler: Handler) -> None:
+        """Sets the handler for messages of a type."""
+        self.handlers[body_type.kind] = handler  # type: ignore[attr-defined]
+
+    def next_correlation(self) -> int:
+        """Returns an unused correlation id."""
+        return next(self._correlation)
+
+    def send(self, url: str, body: Body, correlation_id: int = 0, addressed_boot: str = "") -> bool:
+        """Puts a message on its way."""
+        envelope = Envelope(
+            kind=body.kind,
+            sender=self.url,
+            sender_boot=self.boot,
+            reply_to=self.url,
+            correlation_id=correlation_id,
+            sent_at=0.0,
+            body=msgspec.Raw(),
+            addressed_boot=addressed_boot,
+        )
+        self._network.queue.append((url, envelope, body))
+        return True
