Detect the loss of a primary and promote over a fake group

Systems for assignment, probes, loss, promotion, terms, bootstrap and membership as functions over rows, run by simulated controllers.

--- /dev/null
+++ b/siskindale/controller/systems/bootstrap.py
@@ -0,0 +1,28 @@
+"""First promotion of a group whose targets have never had a primary."""
+
+from siskindale.controller import views
+from siskindale.controller.effects import Effect
+from siskindale.controller.systems import limits, promotion
+from siskindale.controller.tables import GroupRow, PromotionRow, Tables
+
+
+def run(tables: Tables, now: float) -> list[Effect]:
+    """Starts the first promotion of each new group, in order of rank."""
+    return [e for row in list(tables.groups.values()) for e in _group(tables, row, now)]
+
+
+def _group(tables: Tables, row: GroupRow, now: float) -> list[Effect]:
+    if not _is_new(tables, row, now) or not limits.may_promote(tables, row, now):
+        return []
+    since = max(row.created_at, row.top_term_at)
+    if now < since + row.rank * tables.durations.rank_delay_ms / 1000:
+        return []
+    planned = PromotionRow(row.name, 0, "new group", now, voters=row.group.voters)
+    return promotion.start(tables, row, planned, now)
+
+
+def _is_new(tables: Tables, row: GroupRow, now: float) -> bool:
+    """Whether all targets respond and none has a marker; one that is silent might have one."""
+    limit = tables.durations.loss_after_ms / 1000
+    everyone = bool(row.targets) and all(views.recent(r, now, limit) for r in row.targets.values())
+    return everyone and views.newest_marker(row) is None
--- /dev/null
+++ b/tests/fakes/controllers.py
@@ -0,0 +1,185 @@
+"""Controllers over a fake group: the systems of the product, with effects that a test delivers."""
+
+from random import Random
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from siskindale.controller import decisions
+from siskindale.controller.effects import (
+    AnnouncePrimary,
+    AskSight,
+    CommitTerms,
+    Effect,
+    Operation,
+    ReadTerms,
+    Record,
+    TargetCall,
+)
+from siskindale.controller.systems import detection, terms
+from siskindale.controller.tables import GroupRow, Peer, Tables, TargetRow, TermsRow
+from siskindale.models.bundle import Group, Target
+from siskindale.models.group import TargetStatus
+from siskindale.models.wire import SightRequest
+from siskindale.platform.interface import PlatformError, PlatformFailure
+from siskindale.targets.interface import TargetError, TargetFailure
+from tests.fakes.group import FakeGroup, target
+from tests.fakes.platform import FakeTables
+
+NAME = "g"
+STEP_S = 0.01
+UNANSWERED = TargetError(TargetFailure.UNKNOWN, "lost")
+
+
+@attrs.define
+class FakeController:
+    """One controller; `pending` are effects that were not delivered yet."""
+
+    vm: str
+    rank: int
+    tables: Tables
+    random: Random
+    pending: list[tuple[float, Effect]] = attrs.field(factory=list)
+    records: list[Record] = attrs.field(factory=list)
+    up: bool = True
+
+    @property
+    def row(self) -> GroupRow:
+        """The group's row."""
+        return self.tables.groups[NAME]
+
+    def take(self, effects: list[Effect], now: float) -> None:
+        """Queues effects, records apart."""
+        self.records.extend(e for e in effects if isinstance(e, Record))
+        self.pending.extend((now, e) for e in effects if not isinstance(e, Record))
+
+
+class World:
+    """Fake group, store and controllers `x0`, `x1` … in order of rank."""
+
+    def __init__(self, targets: str = "abc", controllers: int = 3, seed: int = 0) -> None:
+        self.group = FakeGroup(tuple(targets))
+        self.store = FakeTables()
+        self.bundle = Group(NAME, tuple(target(n) for n in targets))
+        self.seed = seed
+        names = [f"x{i}" for i in range(controllers)]
+        self.controllers = {n: self._new(n, i, names) for i, n in enumerate(names)}
+
+    @property
+    def now(self) -> float:
+        """Virtual time."""
+        return self.group.now
+
+    def restart(self, vm: str) -> None:
+        """Replaces a controller by one that remembers nothing."""
+        rank = self.controllers[vm].rank
+        self.controllers[vm] = self._new(vm, rank, list(self.controllers))
+
+    def set_targets(self, *targets: Target) -> None:
+        """Gives all controllers a new bundle."""
+        self.bundle = Group(NAME, targets)
+        for controller in self.controllers.values():
+            row = controller.row
+            row.group = self.bundle
+            row.targets = {t.name: row.targets.get(t.name) or TargetRow(NAME, t) for t in targets}
+            for t in targets:
+                row.targets[t.name].target = t
+
+    def tick(self, vm: str) -> None:
+        """Runs one tick of a controller."""
+        controller = self.controllers[vm]
+        found = decisions.tick(controller.tables, self.now, controller.random)
+        controller.take(found, self.now)
+
+    def run(self, seconds: float, step: float = STEP_S) -> None:
+        """Lets everything work for a time: ticks, immediate answers, shipping."""
+        end = self.now + seconds
+        while self.now < end:
+            for vm, controller in self.controllers.items():
+                if controller.up:
+                    self.tick(vm)
+                    self.deliver_all(vm)
+            self.group.settle()
+            self.group.now += step
+
+    def deliver_all(self, vm: str) -> None:
+        """Delivers everything pending, the effects of answers included."""
+        for _ in range(50):
+            if not self.controllers[vm].pending:
+                return
+            self.deliver(vm)
+
+    def deliver(self, vm: str, index: int = 0, sent: bool = True, answered: bool = True) -> None:
+        """Delivers a pending effect; it may be lost on the way there or on the way back."""
+        controller = self.controllers[vm]
+        at, effect = controller.pending.pop(index)
+        handler = self._HANDLERS[type(effect)]
+        controller.take(handler(self, controller, effect, at, sent, answered), self.now)
+
+    def _new(self, vm: str, rank: int, names: list[str]) -> FakeController:
+        self.seed += 1
+        tables = Tables(vm)
+        peers = tuple(Peer(n, n) for n in names if n != vm)
+        row = GroupRow(self.bundle, rank, peers, self.now, top_term_at=self.now)
+        row.targets = {t.name: TargetRow(NAME, t) for t in self.bundle.targets}
+        tables.groups[NAME] = row
+        tables.terms[NAME] = TermsRow(NAME)
+        return FakeController(vm, rank, tables, Random(self.seed))
+
+    def _call(
+        self, own: FakeController, call: TargetCall, at: float, sent: bool, answered: bool
+    ) -> list[Effect]:
+        result = self._operate(own.vm, call) if sent else Failure(UNANSWERED)
+        found = result.unwrap() if isinstance(result, Success) else result.failure()
+        reply = found if answered else UNANSWERED
+        return decisions.on_answer(own.tables, call, reply, at, self.now)
+
+    def _operate(self, vm: str, call: TargetCall) -> Result[TargetStatus, TargetError]:
+        client = self.group.client(vm, call.target.name)
+        if call.operation is Operation.FENCE:
+            return client.fence(call.term)
+        if call.operation is Operation.PROMOTE:
+            return client.promote(call.term, call.voters)
+        if call.operation is Operation.FOLLOW and call.primary is not None:
+            return client.follow(call.term, call.primary)
+        return client.status()
+
+    def _read(
+        self, own: FakeController, call: ReadTerms, at: float, sent: bool, answered: bool
+    ) -> list[Effect]:
+        found = self.store.read(terms.TABLE, call.group)
+        if not (sent and answered) or isinstance(found, Failure):
+            return terms.on_read(own.tables, call.group, PlatformFailure.UNAVAILABLE, self.now)
+        return terms.on_read(own.tables, call.group, found.unwrap(), self.now)
+
+    def _commit(
+        self, own: FakeController, call: CommitTerms, at: float, sent: bool, answered: bool
+    ) -> list[Effect]:
+        unknown = PlatformError(PlatformFailure.UNKNOWN, "lost")
+        done = self.store.commit([call.condition], [call.write]) if sent else Failure(unknown)
+        failure = None if isinstance(done, Success) else done.failure().kind
+        if not answered and self.store.up:
+            failure = PlatformFailure.UNKNOWN
+        return terms.on_commit(own.tables, call, failure, self.now)
+
+    def _ask(
+        self, own: FakeController, call: AskSight, at: float, sent: bool, answered: bool
+    ) -> list[Effect]:
+        peer = self.controllers[call.vm]
+        if sent and answered and peer.up and self.group.reaches(own.vm, peer.vm):
+            request = SightRequest(call.group, call.term, call.primary)
+            reply = detection.answer(peer.tables, request, self.now)
+            if reply is not None:
+                detection.note_sight(own.tables, peer.vm, reply, self.now)
+        return []
+
+    def _announce(self, *_: object) -> list[Effect]:
+        return []
+
+    _HANDLERS = {
+        TargetCall: _call,
+        ReadTerms: _read,
+        CommitTerms: _commit,
+        AskSight: _ask,
+        AnnouncePrimary: _announce,
+    }
