--- a/siskindale/transport/http.py
+++ b/siskindale/transport/http.py
@@ -33,10 +33,11 @@
 
 @attrs.frozen
 class HttpResponse:
-    """Status code and whole body of a response."""
+    """Status code, whole body and headers of a response; header names are lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = attrs.field(factory=dict)
 
 
 class _Response:
@@ -45,11 +46,15 @@
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.keep_alive = False
+        self.headers: dict[str, str] = {}
         self.chunks: list[bytes] = []
         self.size = 0
         self.complete = False
         self.excess = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, chunk: bytes) -> None:
         self.size += len(chunk)
         if self.size > MAX_RESPONSE_BYTES:
@@ -71,8 +76,7 @@
     def __init__(self, sock: socket.socket, address: Address, headers: Mapping[str, str]) -> None:
         self._socket = sock
         self._usable = True
-        fixed = {"Host": str(address), **headers}
-        self._headers = "".join(f"{name}: {value}\r\n" for name, value in fixed.items())
+        self._headers = _lines({"Host": str(address), **headers})
 
     @classmethod
     def connect(
@@ -97,7 +101,12 @@
         self._socket.close()
 
     def request(
-        self, method: str, path: str, body: bytes, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
     ) -> Result[HttpResponse, HttpFailure]:
         """Sends one request and reads its response; closes the connection on any failure."""
         if not self.usable:
@@ -107,7 +116,7 @@
         # Not usable while a response is outstanding, also when the greenlet is killed meanwhile.
         self._usable = False
         try:
-            if not self._send(self._encode(method, path, body), deadline):
+            if not self._send(self._encode(method, path, body, headers or {}), deadline):
                 self.close()
                 return Failure(HttpFailure(False, "connection is closed"))
             return Success(self._receive(deadline))
@@ -118,8 +127,9 @@
             self.close()
             raise
 
-    def _encode(self, method: str, path: str, body: bytes) -> bytes:
-        head = f"{method} {path} HTTP/1.1\r\n{self._headers}Content-Length: {len(body)}\r\n\r\n"
+    def _encode(self, method: str, path: str, body: bytes, headers: Mapping[str, str]) -> bytes:
+        length = f"Content-Length: {len(body)}\r\n\r\n"
+        head = f"{method} {path} HTTP/1.1\r\n{self._headers}{_lines(headers)}{length}"
         return head.encode("ascii") + body
 
     def _quiet(self) -> bool:
@@ -163,19 +173,33 @@
             self._usable = True
         else:
             self.close()
-        return HttpResponse(response.parser.get_status_code(), b"".join(response.chunks))
+        return HttpResponse(
+            response.parser.get_status_code(), b"".join(response.chunks), response.headers
+        )
+
+
+def _lines(headers: Mapping[str, str]) -> str:
+    return "".join(f"{name}: {value}\r\n" for name, value in headers.items())
 
 
 class HttpClient:
     """Keeps a few connections to one address, so that several requests may run at once."""
 
-    def __init__(self, address: Address, headers: Mapping[str, str]) -> None:
+    def __init__(
+        self, address: Address, headers: Mapping[str, str], max_kept: int = MAX_KEPT
+    ) -> None:
         self._address = address
         self._headers = headers
+        self._max_kept = max_kept
         self._kept: list[HttpConnection] = []
 
     def request(
-        self, method: str, path: str, body: bytes, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
     ) -> Result[HttpResponse, HttpFailure]:
         """Sends one request, at most once, within `timeout_s` seconds."""
         deadline = time.monotonic() + timeout_s
@@ -183,8 +207,8 @@
         if isinstance(connected, Failure):
             return connected
         connection = connected.unwrap()
-        answer = connection.request(method, path, body, deadline - time.monotonic())
-        if connection.usable and len(self._kept) < MAX_KEPT:
+        answer = connection.request(method, path, body, deadline - time.monotonic(), headers)
+        if connection.usable and len(self._kept) < self._max_kept:
             self._kept.append(connection)
         else:
             connection.close()
