--- /dev/null
+++ b/bench/checks/shutdown.py
@@ -0,0 +1,39 @@
+"""Promise 8: SIGTERM cuts no request in flight."""
+
+from collections.abc import Iterator
+
+from bench.checks import CHECKS, Verdict, verdict
+from bench.history import CUT, UNKNOWN, Event, FaultEvent, Record
+
+NAME = "graceful shutdown"
+
+
+@CHECKS.register(NAME)
+def check(record: Record) -> Verdict:
+    """Judges the requests that were in flight at any VM when one VM got SIGTERM."""
+    stops = [f for f in record.faults if f.action == "terminate"]
+    in_flight = [(stop, e) for stop in stops for e in _in_flight(record, stop)]
+    own = sum(e.vm == stop.found["vm"] for stop, e in in_flight)
+    evidence = (
+        f"{len(stops)} VMs stopped with {own} requests in flight, "
+        f"{len(in_flight) - own} at other VMs"
+    )
+    return verdict(NAME, own, evidence, _violations(record, in_flight))
+
+
+def _in_flight(record: Record, stop: FaultEvent) -> Iterator[Event]:
+    for event in record.events:
+        if event.kind != "transaction" and event.sent_at <= stop.at < event.ended_at:
+            yield event
+
+
+def _violations(record: Record, in_flight: list[tuple[FaultEvent, Event]]) -> Iterator[str]:
+    for program, status in record.exit_statuses.items():
+        if status != 0:
+            yield f"{program} ended with status {status}"
+    for stop, event in in_flight:
+        if event.outcome in (CUT, UNKNOWN):
+            yield (
+                f"{event.kind} {event.nonce} at {event.vm} was {event.outcome} ({event.problem})"
+                f" when {stop.found['vm']} stopped"
+            )
--- /dev/null
+++ b/bench/schema.py
@@ -0,0 +1,43 @@
+"""Statements of the workload and their tables.
+
+The events table has no unique constraint on the uid: a write that runs twice has to leave two rows
+for the checks to find.
+"""
+
+from collections.abc import Iterator
+
+TABLES = (
+    "CREATE TABLE events (uid TEXT, session TEXT, seq INTEGER)",
+    "CREATE INDEX events_by_session ON events (session, seq)",
+    "CREATE TABLE registers (name TEXT PRIMARY KEY, value TEXT)",
+)
+INITIAL = "initial"
+
+READ_OWN = "SELECT ?, (SELECT MAX(seq) FROM events WHERE session = ?)"
+READ_LARGE = (
+    "WITH RECURSIVE numbers(n) AS"
+    " (SELECT 1 UNION ALL SELECT n + 1 FROM numbers WHERE n < ?) SELECT ?, n FROM numbers"
+)
+WRITE_EVENT = "INSERT INTO events VALUES (?, ?, ?) RETURNING uid"
+READ_REGISTER = "SELECT ?, value FROM registers WHERE name = ?"
+WRITE_REGISTER = "UPDATE registers SET value = ? WHERE name = ? RETURNING value"
+
+ALL_EVENTS = "SELECT uid, session, seq FROM events"
+ALL_REGISTERS = "SELECT name, value FROM registers"
+
+
+def register_names(count: int) -> list[str]:
+    """Returns the names of the registers."""
+    return [f"r{number:03d}" for number in range(count)]
+
+
+def setup_statements(registers: int) -> Iterator[tuple[str, tuple[str, ...]]]:
+    """Returns the statements that create and fill the tables."""
+    yield from ((sql, ()) for sql in TABLES)
+    for name in register_names(registers):
+        yield "INSERT INTO registers VALUES (?, ?)", (name, INITIAL)
+
+
+def with_cost(sql: str, cost_ms: float) -> str:
+    """Returns the statement with the time that it keeps a slot of the stand-in."""
+    return f"/* cost_ms={cost_ms:g} */ {sql}" if cost_ms else sql
