--- /dev/null
+++ b/siskindale/entry/core.py
@@ -0,0 +1,23 @@
+"""Main function of `siskindale-entry`."""
+
+from collections.abc import Sequence
+
+from siskindale.context import Environment
+from siskindale.entry.program import EntryService
+from siskindale.exits import ExitStatus
+from siskindale.models.settings import Settings
+from siskindale.runtime import program
+from siskindale.runtime.commands import invoke, program_app
+
+PROGRAM = "siskindale-entry"
+
+
+def main(args: Sequence[str], env: Environment) -> ExitStatus:
+    """Runs the program with its arguments, without the program's name."""
+    env.program = PROGRAM
+    return invoke(program_app(serve, "Callers' API of siskindale on this VM."), args, env)
+
+
+def serve(settings: Settings, env: Environment) -> ExitStatus:
+    """Serves callers until the program is told to stop."""
+    return program.run(program.Kind.ENTRY, EntryService, settings, env)
--- a/siskindale/models/wire.py
+++ b/siskindale/models/wire.py
@@ -193,4 +193,16 @@
     program: str
 
 
+@message("alive-request")
+@attrs.frozen
+class AliveRequest:
+    """Asks for a sign of life, answered at once: a slow statement is no silent pool."""
+
+
+@message("alive-reply")
+@attrs.frozen
+class AliveReply:
+    """Answer to `AliveRequest`."""
+
+
 Body = Any
--- a/siskindale/runtime/program.py
+++ b/siskindale/runtime/program.py
@@ -20,13 +20,13 @@
     PoolSettings,
     Settings,
 )
-from siskindale.models.wire import DrainNotice
+from siskindale.models.wire import AliveReply, AliveRequest, DrainNotice
 from siskindale.platform.interface import PLATFORM_DRIVERS, Platform
 from siskindale.runtime import logs
 from siskindale.runtime.commands import print_errors
 from siskindale.runtime.health import Report, health_server
 from siskindale.runtime.shutdown import Shutdown
-from siskindale.transport.mailbox import Mailbox
+from siskindale.transport.mailbox import Delivery, Mailbox
 
 # Sockets send in the background: messages queued just before the exit need this time to leave.
 FLUSH_S = 0.2
@@ -170,6 +170,7 @@
 
 def _start(parts: Parts, service: Service, health: WSGIServer) -> None:
     parts.shutdown.install()
+    parts.mailbox.on(AliveRequest, lambda delivery: answer_alive(parts.mailbox, delivery))
     health.start()
     parts.mailbox.start()
     parts.directory.start(announce=parts.kind is Kind.CONTROLLER)
@@ -195,3 +196,9 @@
         url = getattr(member, peer_kind).inbox_url
         if url != parts.mailbox.url:
             parts.mailbox.send(url, DrainNotice(f"{parts.settings.vm}/{parts.kind}"))
+
+
+def answer_alive(mailbox: Mailbox, delivery: Delivery) -> None:
+    """Answers a sign of life without waiting for room: the peer asks again."""
+    envelope = delivery.envelope
+    mailbox.send(envelope.reply_to, AliveReply(), envelope.correlation_id, envelope.sender_boot)
