Test the entry with pools over real sockets

A fake pool answers by a behaviour that tests choose. A header block that a closed connection cuts short is now refused, and connections over the limit are told why.

--- a/siskindale/entry/server.py
+++ b/siskindale/entry/server.py
@@ -22,6 +22,8 @@
 # Connections that are idle at the drain may carry one more request, which is refused in words.
 DRAIN_IDLE_S = 1.0
 DRAIN_POLL_S = 0.02
+REFUSAL_LIMIT_S = 1.0
+READ_BYTES = 64 << 10
 BACKLOG = 1024
 
 Application = Callable[..., Any]
@@ -68,6 +70,14 @@
         except (OSError, AttributeError):
             return
 
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802 - named by the base class
+        """Parses the header; one that a closed connection cut short is no request."""
+        lines = _Lines(args[0])
+        message = super().MessageClass(lines, *args[1:])
+        if lines.last not in (b"\r\n", b"\n"):
+            raise ValueError("the header is incomplete")
+        return message
+
     def read_requestline(self) -> str:
         """Waits for the first byte of a request, then reads its first line."""
         self.enter(Phase.IDLE)
@@ -140,7 +150,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if len(self._handlers) >= self._max_callers:
             metrics.REFUSED_CONNECTIONS.inc()
-            sock.sendall(_TOO_MANY_CONNECTIONS)
+            _refuse_connection(sock)
             return
         handler = Handler(sock, address, self)
         handler.enter(Phase.IDLE)
@@ -191,6 +201,29 @@
         """Has nothing to flush."""
 
 
+class _Lines:
+    """Reader of lines that keeps the last one."""
+
+    def __init__(self, reader: Any) -> None:
+        self._reader = reader
+        self.last = b""
+
+    def readline(self, limit: int) -> bytes:
+        self.last = self._reader.readline(limit)
+        return self.last
+
+
+def _refuse_connection(sock: Any) -> None:
+    """Tells the caller why, and waits a moment: a reset would discard what was said."""
+    sock.settimeout(REFUSAL_LIMIT_S)
+    try:
+        sock.sendall(_TOO_MANY_CONNECTIONS)
+        sock.shutdown(socket.SHUT_WR)
+        sock.recv(READ_BYTES)
+    except OSError:
+        return
+
+
 def _raw_response(status: str, problem: Problem) -> bytes:
     content = problems.document(problem, "")
     head = {**problems.headers(problem), "Content-Length": str(len(content)), "Connection": "close"}
--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,34 @@
+"""Shared fixtures of the entry's tests."""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+from tests.entry.harness import Client, Deployment
+
+
+@pytest.fixture
+def deploy() -> Iterator[Callable[..., Deployment]]:
+    """Function that starts a deployment; `Deployment` names its options."""
+    started: list[Deployment] = []
+
+    def start(**options: Any) -> Deployment:
+        started.append(Deployment(**options))
+        return started[-1]
+
+    yield start
+    for deployment in started:
+        deployment.close()
+
+
+@pytest.fixture
+def deployment(deploy: Callable[..., Deployment]) -> Deployment:
+    """A running entry with three pools."""
+    return deploy()
+
+
+@pytest.fixture
+def client(deployment: Deployment) -> Client:
+    """A caller of the entry."""
+    return deployment.client()
--- /dev/null
+++ b/tests/entry/harness.py
@@ -0,0 +1,277 @@
+"""An entry with pools that misbehave on request, all over real sockets in one process."""
+
+import hashlib
+import http.client
+import io
+import json
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import gevent
+from gevent import socket
+
+from bench.processes import free_ports
+from siskindale import transactions
+from siskindale.context import Environment
+from siskindale.entry.program import EntryService
+from siskindale.membership.directory import Directory, member_of, to_row
+from siskindale.membership.rendezvous import rank
+from siskindale.models.bundle import Bundle, Caller, Repeat, StatementClass
+from siskindale.models.group import LogPosition
+from siskindale.models.outcomes import Outcome, Refusal, RefusalKind
+from siskindale.models.settings import Settings
+from siskindale.models.wire import (
+    AliveRequest,
+    Answer,
+    BeginRequest,
+    FinishRequest,
+    StatementRequest,
+    StatementResult,
+    TransactionStatement,
+)
+from siskindale.platform.interface import LiveView, Write
+from siskindale.runtime.health import health_server
+from siskindale.runtime.program import Kind, Parts, answer_alive, readiness
+from siskindale.runtime.shutdown import Shutdown
+from siskindale.transactions import TransactionId
+from siskindale.transport.mailbox import Delivery, Mailbox
+from tests.fakes.platform import FakePlatform
+from tests.fakes.settings import bundle, vm_settings
+
+TOKEN = "club-token"
+KEY = "01932c07-2b41-7a3e-8d21-6f0a5b1c9e01"
+CLASSES = (
+    StatementClass("filings", Repeat.FORBIDDEN),
+    StatementClass("revisions"),
+    StatementClass("browsing", max_age_ms=2_000),
+)
+
+Behaviour = Callable[["FakePool", Delivery], None]
+
+
+def club(**changes: Any) -> Caller:
+    """Returns the caller of the tests."""
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    names = tuple(c.name for c in CLASSES)
+    return attrs.evolve(Caller("club", digest, ("survey",), names), **changes)
+
+
+class StaticBundles:
+    """A bundle that tests replace."""
+
+    def __init__(self, current: Bundle | None) -> None:
+        self.current = current
+        self.degraded = False
+        self.digest = "d" * 64
+        self._listeners: list[Callable[[Bundle], None]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether there is a bundle."""
+        return self.current is not None
+
+    def start(self) -> None:
+        """Has nothing to start."""
+
+    def subscribe(self, callback: Callable[[Bundle], None]) -> None:
+        """Calls `callback` with the bundle and each later one."""
+        self._listeners.append(callback)
+        if self.current is not None:
+            callback(self.current)
+
+    def adopt(self, new: Bundle) -> None:
+        """Puts a bundle in effect."""
+        self.current = new
+        for listener in self._listeners:
+            listener(new)
+
+
+class FakePool:
+    """Pool of a VM that answers by `behaviour` and records what it got."""
+
+    def __init__(self, settings: Settings, env: Environment) -> None:
+        self.vm = settings.vm
+        self.settings = settings
+        self.behaviour: Behaviour = done
+        self.dead = False
+        self.received: list[Any] = []
+        self.mailbox = Mailbox(f"{settings.vm}/pool", settings.pool.inbox, env.clock)
+        for kind in (StatementRequest, BeginRequest, TransactionStatement, FinishRequest):
+            self.mailbox.on(kind, self._on_request)
+        self.mailbox.on(AliveRequest, self._on_alive)
+        self.mailbox.start()
+
+    def answer(self, delivery: Delivery, **changes: Any) -> None:
+        """Answers a request; `changes` replace parts of a plain answer."""
+        plain = Answer(
+            delivery.body.request_id,
+            Outcome.DONE,
+            result=StatementResult(("n",), ((1,),), 1),
+            position=LogPosition(1, len(self.received)),
+            target="survey-0",
+            role="primary",
+        )
+        if isinstance(delivery.body, BeginRequest):
+            found = TransactionId(delivery.body.group, self.vm, self.mailbox.boot, 1)
+            text = transactions.encode(self.settings.session_keys, found)
+            plain = attrs.evolve(plain, transaction=text, result=None)
+        self.mailbox.reply(delivery, attrs.evolve(plain, **changes))
+
+    def _on_request(self, delivery: Delivery) -> None:
+        if not self.dead:
+            self.received.append(delivery.body)
+            self.behaviour(self, delivery)
+
+    def _on_alive(self, delivery: Delivery) -> None:
+        if not self.dead:
+            answer_alive(self.mailbox, delivery)
+
+
+def done(pool: FakePool, delivery: Delivery) -> None:
+    """Answers at once."""
+    pool.answer(delivery)
+
+
+def silent(pool: FakePool, delivery: Delivery) -> None:
+    """Loses the answer; the pool itself stays alive."""
+
+
+def after(seconds: float) -> Behaviour:
+    """Answers late."""
+
+    def behave(pool: FakePool, delivery: Delivery) -> None:
+        gevent.spawn_later(seconds, pool.answer, delivery)
+
+    return behave
+
+
+def refusing(kind: RefusalKind, outcome: Outcome = Outcome.NOT_RUN) -> Behaviour:
+    """Refuses every request."""
+
+    def behave(pool: FakePool, delivery: Delivery) -> None:
+        pool.answer(delivery, outcome=outcome, result=None, refusal=Refusal(kind, "refused"))
+
+    return behave
+
+
+@attrs.frozen
+class Response:
+    """Response to a caller."""
+
+    status: int
+    headers: dict[str, str]
+    content: bytes
+
+    @property
+    def json(self) -> Any:
+        """Decoded body."""
+        return json.loads(self.content)
+
+    @property
+    def problem(self) -> str:
+        """Last part of the problem's type."""
+        assert self.headers["content-type"] == "application/problem+json"
+        return self.json["type"].removeprefix("urn:siskindale:problem:")
+
+
+class Client:
+    """Caller with one kept connection."""
+
+    def __init__(self, address: Any, token: str | None = TOKEN) -> None:
+        self.address = address
+        self.headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self.connection = http.client.HTTPConnection(address.host, address.port)
+
+    def request(self, method: str, path: str, body: Any = None, **headers: str) -> Response:
+        """Sends a request; `_` in names of headers stands for `-`."""
+        if self.connection.sock is None:
+            self.connection.sock = socket.create_connection((self.address.host, self.address.port))
+        content = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        self.connection.request(method, path, content, {**self.headers, **named})
+        response = self.connection.getresponse()
+        found = {name.lower(): value for name, value in response.getheaders()}
+        return Response(response.status, found, response.read())
+
+    def statement(self, access: str = "read", name: str = "browsing", **options: Any) -> Response:
+        """Runs a statement; options in capitals are headers, others fields of the body."""
+        headers = {k: v for k, v in options.items() if k[0].isupper()}
+        fields = {k: v for k, v in options.items() if not k[0].isupper()}
+        body = {"sql": "select 1", "access": access, "class": name} | fields
+        return self.request("POST", "/v1/databases/survey/statements", body, **headers)
+
+
+class Deployment:
+    """An entry on the first VM, pools on all VMs."""
+
+    def __init__(self, vms: int = 3, **entry_changes: Any) -> None:
+        self.env = Environment(stderr=io.StringIO(), program="siskindale-entry")
+        self.settings = [_on_free_ports(vm_settings(index), entry_changes) for index in range(vms)]
+        platform = FakePlatform()
+        for settings in self.settings:
+            row = to_row(member_of(settings))
+            platform.commit([], [Write("members", settings.vm, row)])
+        platform.live = LiveView(frozenset(s.vm for s in self.settings), frozenset())
+        own = self.settings[0]
+        self.directory = Directory(own, platform.as_platform())
+        self.directory.refresh()
+        self.bundles = StaticBundles(bundle(classes=CLASSES, callers=(club(),)))
+        mailbox = Mailbox(f"{own.vm}/entry", own.entry.inbox, self.env.clock)
+        self.parts = Parts(
+            Kind.ENTRY,
+            own,
+            self.env,
+            platform.as_platform(),
+            self.directory,
+            mailbox,
+            self.bundles,
+            Shutdown(),
+        )
+        self.service = EntryService(self.parts)
+        self.health = health_server(
+            own.entry.health,
+            lambda: readiness(self.parts, self.service),
+            reports=self.service.reports,
+        )
+        self.pools = {s.vm: FakePool(s, self.env) for s in self.settings}
+        mailbox.start()
+        self.service.start()
+        self.health.start()
+
+    @property
+    def ranked(self) -> list[FakePool]:
+        """Pools in the rank of the group."""
+        return [self.pools[m.vm] for m in rank("survey", self.directory.members)]
+
+    @property
+    def received(self) -> list[Any]:
+        """Requests that any pool got."""
+        return [body for pool in self.pools.values() for body in pool.received]
+
+    def client(self, token: str | None = TOKEN) -> Client:
+        """Returns a new caller."""
+        return Client(self.settings[0].entry.listen, token)
+
+    def health_get(self, path: str) -> Response:
+        """Gets a page of the health server."""
+        return Client(self.settings[0].entry.health).request("GET", path)
+
+    def behave(self, behaviour: Behaviour) -> None:
+        """Sets the behaviour of all pools."""
+        for pool in self.pools.values():
+            pool.behaviour = behaviour
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        self.service.server.stop()
+        self.health.stop()
+        self.parts.mailbox.close()
+        for pool in self.pools.values():
+            pool.mailbox.close()
+
+
+def _on_free_ports(settings: Settings, entry_changes: dict[str, Any]) -> Settings:
+    listen, inbox, health, pool = free_ports(4)
+    entry = attrs.evolve(settings.entry, listen=listen, inbox=inbox, health=health, **entry_changes)
+    return attrs.evolve(settings, entry=entry, pool=attrs.evolve(settings.pool, inbox=pool))
