--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,276 @@
+"""Faults of an experiment: a registry of actions, and schedules from a file or a seed."""
+
+import signal
+import time
+from collections.abc import Callable, Iterator
+from random import Random
+from typing import Any
+
+import attrs
+import gevent
+
+from bench.cluster import PROGRAMS, Cluster
+from bench.deployment import GroupStandin
+from bench.experiment import DeploymentPlan, Fault
+from bench.history import FaultEvent
+from siskindale.models.bundle import TargetState
+from siskindale.registry import Registry
+
+Options = dict[str, Any]
+Action = Callable[["Injector", Options], dict[str, Any]]
+ACTIONS: Registry[Action] = Registry("fault action")
+
+
+class Injector:
+    """Runs the faults of a schedule and records them."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.record: list[FaultEvent] = []
+        self.exit_statuses: dict[str, int | None] = {}
+        self._killed: set[str] = set()
+        self._stopped_vms: set[str] = set()
+
+    def run(self, faults: tuple[Fault, ...], start_at: float) -> None:
+        """Runs the faults at their times; those of equal time run together."""
+        greenlets = [gevent.spawn(self._at, start_at + fault.at_s, fault) for fault in faults]
+        gevent.joinall(greenlets, raise_error=True)
+
+    def apply(self, action: str, options: Options) -> None:
+        """Runs one action now."""
+        at = time.monotonic()
+        found = ACTIONS.get(action)(self, options)
+        self.record.append(FaultEvent(found.pop("at", at), action, options, found))
+
+    def heal(self) -> None:
+        """Ends all faults that last, so that the final state can be read."""
+        cluster = self.cluster
+        cluster.platform.faults(
+            delay_ms=0, down=False, lose_next_answers=0, cut_from=[], cut_mode="drop"
+        )
+        for process in cluster.processes.all:
+            process.signal(signal.SIGCONT)
+        for group in cluster.groups.values():
+            for target in group.group.targets:
+                self.revive(group, target.name)
+                group.faults(
+                    target.name, delay_ms=0, lose_next_answers=0, cut_from=[], cut_mode="drop"
+                )
+
+    def group_of(self, options: Options) -> GroupStandin:
+        """Returns the group that the options name by `database`."""
+        return self.cluster.groups[options["database"]]
+
+    def target_of(self, options: Options) -> str:
+        """Returns the target that the options name: `target`, or `role` of `database`."""
+        if "target" in options:
+            return options["target"]
+        group = self.group_of(options).group
+        found = self.cluster.primary(options["database"])
+        primary = found.name if found else group.targets[0].name
+        if options.get("role", "primary") == "primary":
+            return primary
+        return next(t.name for t in reversed(group.targets) if t.name != primary)
+
+    def is_primary(self, options: Options, name: str) -> bool:
+        """Whether the target is the primary of the database now."""
+        found = self.cluster.primary(options["database"])
+        return found is not None and found.name == name
+
+    def revive(self, group: GroupStandin, name: str) -> None:
+        """Restarts a target if it was killed."""
+        if not group.process(name).running:
+            group.restart(name)
+
+    def _at(self, due: float, fault: Fault) -> None:
+        gevent.sleep(max(due - time.monotonic(), 0.0))
+        self.apply(fault.action, fault.options)
+
+
+def _lost(injector: Injector, options: Options, name: str) -> dict[str, Any]:
+    lost = injector.is_primary(options, name)
+    return {"target": name, "lost_primary": lost, "database": options["database"]}
+
+
+@ACTIONS.register("kill")
+def kill(injector: Injector, options: Options) -> dict[str, Any]:
+    """Kills a target."""
+    name = injector.target_of(options)
+    found = _lost(injector, options, name)
+    at = time.monotonic()
+    injector.group_of(options).process(name).kill()
+    return {**found, "at": at}
+
+
+@ACTIONS.register("restart")
+def restart(injector: Injector, options: Options) -> dict[str, Any]:
+    """Starts the killed targets of a database again."""
+    group = injector.group_of(options)
+    for target in group.group.targets:
+        injector.revive(group, target.name)
+    return {}
+
+
+@ACTIONS.register("pause")
+def pause(injector: Injector, options: Options) -> dict[str, Any]:
+    """Stops a target for `seconds` without ending it."""
+    name = injector.target_of(options)
+    found = _lost(injector, options, name)
+    process = injector.group_of(options).process(name)
+    at = time.monotonic()
+    process.signal(signal.SIGSTOP)
+    gevent.spawn_later(float(options.get("seconds", 3)), process.signal, signal.SIGCONT)
+    return {**found, "at": at}
+
+
+@ACTIONS.register("pause-program")
+def pause_program(injector: Injector, options: Options) -> dict[str, Any]:
+    """Stops a program of a VM for `seconds` without ending it."""
+    process = injector.cluster.processes.get(f"{options['vm']}-{options['program']}")
+    process.signal(signal.SIGSTOP)
+    gevent.spawn_later(float(options.get("seconds", 3)), process.signal, signal.SIGCONT)
+    return {}
+
+
+@ACTIONS.register("isolate")
+def isolate(injector: Injector, options: Options) -> dict[str, Any]:
+    """Cuts a target off from `from`, by default from targets and controllers but not pools."""
+    name = injector.target_of(options)
+    found = _lost(injector, options, name)
+    group = injector.group_of(options)
+    at = time.monotonic()
+    group.faults(
+        name,
+        cut_from=options.get("from", ["targets", "controllers"]),
+        cut_mode=options.get("mode", "hang"),
+    )
+    return {**found, "at": at}
+
+
+@ACTIONS.register("target-faults")
+def target_faults(injector: Injector, options: Options) -> dict[str, Any]:
+    """Sets the faults in `set` on a target."""
+    name = injector.target_of(options)
+    injector.group_of(options).faults(name, **options["set"])
+    return {"target": name}
+
+
+@ACTIONS.register("heal")
+def heal(injector: Injector, options: Options) -> dict[str, Any]:
+    """Ends all faults and restarts killed targets."""
+    injector.heal()
+    return {}
+
+
+@ACTIONS.register("platform")
+def platform(injector: Injector, options: Options) -> dict[str, Any]:
+    """Sets faults of the platform."""
+    return {"set": injector.cluster.platform.faults(**options)}
+
+
+@ACTIONS.register("kill-program")
+def kill_program(injector: Injector, options: Options) -> dict[str, Any]:
+    """Kills a program of a VM and starts it again after `seconds`."""
+    vm = injector.cluster.vms[options["vm"]]
+    injector.cluster.processes.get(vm.process(options["program"])).kill()
+    gevent.spawn_later(
+        float(options.get("seconds", 2)),
+        injector.cluster.start_program,
+        vm,
+        options["program"],
+    )
+    return {}
+
+
+@ACTIONS.register("terminate")
+def terminate(injector: Injector, options: Options) -> dict[str, Any]:
+    """Sends SIGTERM to the programs of a VM and waits for their end."""
+    at = time.monotonic()
+    injector.exit_statuses.update(injector.cluster.stop_vm(options["vm"]))
+    return {"vm": options["vm"], "at": at}
+
+
+@ACTIONS.register("start-vm")
+def start_vm(injector: Injector, options: Options) -> dict[str, Any]:
+    """Starts the programs of a VM again."""
+    injector.cluster.start_vm(options["vm"])
+    return {}
+
+
+@ACTIONS.register("leave")
+def leave(injector: Injector, options: Options) -> dict[str, Any]:
+    """Names a target as leaving in the live list."""
+    name = injector.target_of(options)
+    at = time.monotonic()
+    injector.cluster.leaving.add(name)
+    injector.cluster.publish_live()
+    return {"target": name, "database": options["database"], "at": at}
+
+
+@ACTIONS.register("roll")
+def roll(injector: Injector, options: Options) -> dict[str, Any]:
+    """Rolls a new bundle; `leaving` marks a replica of that database as leaving."""
+    cluster = injector.cluster
+    bundle = attrs.evolve(cluster.bundle, version=cluster.bundle.version + 1)
+    if "leaving" in options:
+        database = options["leaving"]
+        name = injector.target_of({"database": database, "role": "replica"})
+        bundle = _with_leaving(bundle, name)
+    cluster.bundle = cluster.operators.roll(bundle)
+    return {"version": cluster.bundle.version, "at": time.monotonic()}
+
+
+def _with_leaving(bundle: Any, name: str) -> Any:
+    groups = tuple(
+        attrs.evolve(
+            group,
+            targets=tuple(
+                attrs.evolve(t, state=TargetState.LEAVING) if t.name == name else t
+                for t in group.targets
+            ),
+        )
+        for group in bundle.groups
+    )
+    return attrs.evolve(bundle, groups=groups)
+
+
+def random_schedule(plan: DeploymentPlan, seconds: float, seed: int) -> Iterator[Fault]:
+    """Returns a schedule of faults that end before the load does.
+
+    Faults overlap: the next one starts after 1 to 4 s, most of them last longer.
+    """
+    random = Random(seed)
+    at = 2.0
+    while at < seconds - 4.0:
+        yield _random_fault(plan, at, random)
+        at += random.uniform(1.0, 4.0)
+    yield Fault(seconds - 3.0, "heal")
+
+
+def _random_fault(plan: DeploymentPlan, at: float, random: Random) -> Fault:
+    database = random.choice(plan.databases)
+    vm = f"vm{random.randint(1, plan.vms)}"
+    program = random.choice(PROGRAMS)
+    role = random.choice(["primary", "replica"])
+    seconds = round(random.uniform(0.3, 5.0), 2)
+    return random.choice(
+        [
+            Fault(at, "kill", {"database": database, "role": role}),
+            Fault(at, "restart", {"database": database}),
+            Fault(at, "pause", {"database": database, "role": role, "seconds": seconds}),
+            Fault(at, "isolate", {"database": database, "role": role}),
+            Fault(at, "isolate", {"database": database, "role": role, "from": ["pools"]}),
+            Fault(at, "target-faults", {"database": database, "set": {"lose_next_answers": 3}}),
+            Fault(
+                at,
+                "target-faults",
+                {"database": database, "role": role, "set": {"apply_lag_ms": 500}},
+            ),
+            Fault(at, "heal"),
+            Fault(at, "platform", {"down": True}),
+            Fault(at, "platform", {"down": False, "delay_ms": 400}),
+            Fault(at, "platform", {"lose_next_answers": 2}),
+            Fault(at, "kill-program", {"vm": vm, "program": program, "seconds": seconds}),
+            Fault(at, "pause-program", {"vm": vm, "program": program, "seconds": seconds}),
+        ]
+    )
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -12,6 +12,7 @@
 from types import TracebackType
 
 import attrs
+import gevent
 
 from siskindale.models.settings import Address
 
@@ -48,7 +49,7 @@
     while not condition():
         if time.monotonic() > give_up:
             raise TimeoutError(f"not within {timeout_s} s: {what}")
-        time.sleep(READY_POLL_S)
+        gevent.sleep(READY_POLL_S)
 
 
 def _die_with_parent() -> None:
@@ -88,11 +89,13 @@
     def terminate(self, timeout_s: float) -> int | None:
         """Asks the process to end; returns its exit status, None if it had to be killed."""
         self.signal(signal.SIGTERM)
-        try:
-            return self.popen.wait(timeout_s)
-        except subprocess.TimeoutExpired:
-            self.kill()
-            return None
+        give_up = time.monotonic() + timeout_s
+        while self.running:
+            if time.monotonic() > give_up:
+                self.kill()
+                return None
+            gevent.sleep(READY_POLL_S)
+        return self.popen.returncode
 
 
 class Processes:
