Run the pool over the mailbox and the target driver

A confirmed batch must come from the primary of its term: a fenced target's data need not be in the log of the term's primary. A connection taken for a batch counts its slot once. Conclusion: strict and bounded reads, plain and keyed writes, transactions and the drain pass over the stand-ins.

--- a/siskindale/pool/effects.py
+++ b/siskindale/pool/effects.py
@@ -14,7 +14,7 @@
 
 @attrs.frozen(eq=False)
 class Reply:
-    """Send an answer to the sender of a request."""
+    """Send an answer to the sender of a request; `request` is absent if it was not admitted."""
 
     request: RequestRow | None
     reply: Any
--- /dev/null
+++ b/siskindale/pool/program.py
@@ -0,0 +1,182 @@
+"""The pool as a service: messages and completions in, effects out, one tick for all of them."""
+
+import importlib
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import gevent
+from gevent.event import Event as GeventEvent
+
+from siskindale.models.bundle import Bundle
+from siskindale.models.wire import (
+    BeginRequest,
+    FinishRequest,
+    GroupNotice,
+    StatementRequest,
+    TransactionStatement,
+)
+from siskindale.pool import engine, metrics
+from siskindale.pool.assignment import Assignment
+from siskindale.pool.effects import (
+    BundleAdopted,
+    DirectoryChanged,
+    Effect,
+    Event,
+    GroupNoticed,
+    Reply,
+    RequestArrived,
+)
+from siskindale.pool.systems import timers
+from siskindale.pool.tables import Tables
+from siskindale.pool.workers import Workers
+from siskindale.runtime.health import Report
+from siskindale.runtime.logs import logger
+from siskindale.runtime.loop import TickLoop
+from siskindale.runtime.program import Parts
+from siskindale.targets.interface import TARGET_DRIVERS, TargetDriver
+from siskindale.transport.mailbox import Delivery
+
+DRAIN_POLL_S = 0.02
+HOUSEKEEPING_S = 1.0
+REQUESTS = (StatementRequest, BeginRequest, TransactionStatement, FinishRequest)
+
+
+def load_driver(parts: Parts) -> TargetDriver:
+    """Returns the target driver that the settings name."""
+    name = parts.settings.pool.target_driver
+    importlib.import_module(f"siskindale.targets.{name}")
+    return TARGET_DRIVERS.get(name)("pools", parts.settings.vm)
+
+
+class PoolService:
+    """Connects the decisions to the mailbox, the targets, the bundle and the directory."""
+
+    def __init__(self, parts: Parts, driver: TargetDriver | None = None) -> None:
+        self._parts = parts
+        self._clock = parts.env.clock
+        self._tables = Tables(settings=parts.settings, boot=parts.mailbox.boot)
+        self._events: list[Event] = []
+        self._loop = TickLoop(self._tick, self._clock)
+        self._workers = Workers(driver or load_driver(parts), self._clock, self._report)
+        self._assignment = Assignment(parts.directory)
+        self._reassign = GeventEvent()
+        for kind in REQUESTS:
+            parts.mailbox.on(kind, self._on_request)
+        parts.mailbox.on(GroupNotice, self._on_notice)
+        parts.directory.subscribe(self._reassign.set)
+        parts.bundles.subscribe(self._on_bundle)
+
+    @property
+    def tables(self) -> Tables:
+        """Tables of the pool."""
+        return self._tables
+
+    @property
+    def reports(self) -> Mapping[str, Report]:
+        """State of the served groups, for operators."""
+        return {"/groups": self._groups}
+
+    def reasons(self) -> Sequence[str]:
+        """Lists why the pool takes no work; a group without a primary is no reason."""
+        return [] if self._tables.bundle is not None else ["no bundle was adopted"]
+
+    def start(self) -> None:
+        """Starts the loop."""
+        self._loop.start()
+        gevent.spawn(self._assign_forever)
+        gevent.spawn(self._keep_house)
+
+    def drain(self) -> None:
+        """Refuses new work and blocks until requests and transactions have ended."""
+        self._tables.draining = True
+        while self._tables.requests or self._tables.transactions or self._events:
+            gevent.sleep(DRAIN_POLL_S)
+        self._loop.stop()
+
+    def _on_request(self, delivery: Delivery) -> None:
+        self._report(RequestArrived(delivery.body, delivery, delivery.delay_s))
+
+    def _on_notice(self, delivery: Delivery) -> None:
+        self._report(GroupNoticed(delivery.body.group, delivery.body.term))
+
+    def _on_bundle(self, bundle: Bundle) -> None:
+        self._reassign.set()
+
+    def _report(self, event: Event) -> None:
+        self._events.append(event)
+        self._loop.wake()
+
+    def _tick(self, now: float) -> float | None:
+        events, self._events = self._events, []
+        tables = self._tables
+        tables.degraded = self._parts.bundles.degraded
+        tables.wall_offset = self._clock.time() - now
+        for effect in engine.step(tables, events, now, self._parts.env.random):
+            self._execute(effect, now)
+        return timers.next_due(tables)
+
+    def _execute(self, effect: Effect, now: float) -> None:
+        if isinstance(effect, Reply):
+            self._reply(effect, now)
+        else:
+            self._workers.execute(effect)
+
+    def _reply(self, effect: Reply, now: float) -> None:
+        metrics.answered(effect, now)
+        answer, delivery = effect.answer, effect.reply
+        if answer.refusal is not None:
+            logger().info(
+                "request-refused",
+                request_id=answer.request_id,
+                outcome=answer.outcome.value,
+                kind=answer.refusal.kind.value,
+                detail=answer.refusal.detail,
+            )
+        envelope = delivery.envelope
+        sent = self._parts.mailbox.send(
+            envelope.reply_to, answer, envelope.correlation_id, envelope.sender_boot
+        )
+        if not sent:
+            gevent.spawn(self._parts.mailbox.reply, delivery, answer)
+
+    def _assign_forever(self) -> None:
+        while True:
+            self._reassign.wait()
+            self._reassign.clear()
+            try:
+                self._assign()
+            except Exception:
+                logger().exception("assignment-failed")
+
+    def _assign(self) -> None:
+        """Ranks the pools before the bundle is adopted, so that new groups have their ranks."""
+        bundle = self._parts.bundles.current
+        if bundle is None:
+            return
+        ranks = self._assignment.rank(bundle)
+        self._report(DirectoryChanged(ranks, self._parts.directory.leaving))
+        if bundle is not self._tables.bundle:
+            self._report(BundleAdopted(bundle))
+
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(HOUSEKEEPING_S)
+            metrics.collect(self._tables)
+            self._parts.mailbox.close_idle()
+            served = self._tables.groups.values()
+            self._workers.keep_controls(
+                [target.definition for group in served for target in group.targets.values()]
+            )
+
+    def _groups(self) -> dict[str, Any]:
+        return {
+            group.name: {
+                "rank": group.rank,
+                "term": group.term,
+                "primary": group.primary.name if group.primary else None,
+                "writable": group.writable,
+                "voters": list(group.voters),
+                "connections": {name: len(t.open) for name, t in group.targets.items()},
+            }
+            for group in self._tables.groups.values()
+        }
--- a/siskindale/pool/systems/acknowledgement.py
+++ b/siskindale/pool/systems/acknowledgement.py
@@ -7,7 +7,7 @@
 import heapq
 from itertools import chain
 
-from siskindale.models.group import majority
+from siskindale.models.group import Role, majority
 from siskindale.pool.effects import AskStatus, Effect, WaitPosition
 from siskindale.pool.systems import timers
 from siskindale.pool.tables import (
@@ -38,10 +38,14 @@
 
 
 def submit(tables: Tables, request: RequestRow) -> bool:
-    """Adds an answered batch to those that wait for a majority; False if its term is over."""
+    """Adds an answered batch to those that wait for a majority.
+
+    Returns False if its term is over, or if its target was not the primary of its term: what a
+    fenced target holds need not be in the log of the term's primary.
+    """
     group, batch = request.group, request.batch
     assert batch is not None
-    if batch.term < group.term:
+    if batch.term < group.term or batch.role is not Role.PRIMARY:
         return False
     request.phase = Phase.CONFIRMING
     tables.touch(group)
--- a/siskindale/pool/systems/admission.py
+++ b/siskindale/pool/systems/admission.py
@@ -133,7 +133,7 @@
             discovery.poll_soon(tables, group, now, discovery.POLL_UNSETTLED_S)
             effects += later(tables, request, now, TERM_RETRY_S)
         else:
-            effects += batches.start(tables, request, connections.take(target, request), now)
+            effects += batches.start(tables, request, connections.take(target), now)
     return effects
 
 
@@ -154,7 +154,7 @@
             request.stage, request.lane = Stage.READ, Lane.PRIMARY
             _append(tables, request, left=False)
         else:
-            effects += batches.start(tables, request, connections.take(target, request), now)
+            effects += batches.start(tables, request, connections.take(target), now)
     return effects
 
 
--- a/siskindale/pool/systems/connections.py
+++ b/siskindale/pool/systems/connections.py
@@ -52,11 +52,9 @@
     return bool(target.idle) and target.running < target.slots
 
 
-def take(target: TargetRow, request: RequestRow) -> ConnectionRow:
-    """Reserves an idle connection for a request."""
-    connection = target.idle.pop()
-    occupy(connection, request)
-    return connection
+def take(target: TargetRow) -> ConnectionRow:
+    """Removes a connection from the idle ones, for the start of a batch."""
+    return target.idle.pop()
 
 
 def occupy(connection: ConnectionRow, request: RequestRow) -> None:
--- a/siskindale/pool/systems/pruning.py
+++ b/siskindale/pool/systems/pruning.py
@@ -28,4 +28,4 @@
         stage=Stage.PRUNE,
     )
     tables.requests[request.number] = request
-    return batches.start(tables, request, connections.take(target, request), now)
+    return batches.start(tables, request, connections.take(target), now)
--- /dev/null
+++ b/tests/pool/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the pool."""
--- /dev/null
+++ b/tests/pool/test_end_to_end.py
@@ -0,0 +1,92 @@
+"""The pool process over stand-in targets, through its real mailbox."""
+
+import uuid6
+
+from siskindale.models.outcomes import Outcome, RefusalKind
+from siskindale.models.wire import BeginRequest, FinishRequest, TransactionStatement
+from tests.pool.conftest import PoolStandin
+
+CREATE = "CREATE TABLE caves (id INTEGER PRIMARY KEY, name TEXT)"
+INSERT = "INSERT INTO caves (name) VALUES ('Kapchuk')"
+COUNT = "SELECT COUNT(*) FROM caves"
+
+
+def create(pool: PoolStandin) -> None:
+    answer = pool.client.run(CREATE, "write")
+    assert answer.outcome is Outcome.DONE, answer
+
+
+def test_write_and_strict_read(pool: PoolStandin) -> None:
+    """Guards against a pool that cannot serve the plain path at all."""
+    create(pool)
+    written = pool.client.run(INSERT, "write")
+    assert (written.outcome, written.role) == (Outcome.DONE, "primary")
+    read = pool.client.run(COUNT, token=written.position)
+    assert read.result is not None and read.result.rows == ((1,),)
+    assert read.position >= written.position
+
+
+def test_keyed_write_runs_once(pool: PoolStandin) -> None:
+    """Guards against a repeated filing when the caller repeats the request."""
+    create(pool)
+    key = str(uuid6.uuid7())
+    fields = {"statement_class": "filings", "key": key}
+    first = pool.client.run(INSERT, "write", **fields)
+    second = pool.client.run(INSERT, "write", **fields)
+    assert first.outcome is second.outcome is Outcome.DONE
+    assert first.result == second.result
+    read = pool.client.run(COUNT)
+    assert read.result is not None and read.result.rows == ((1,),)
+    other = pool.client.run(INSERT, "write", **(fields | {"digest": "other"}))
+    assert other.refusal is not None and other.refusal.kind is RefusalKind.KEY_REUSED
+    missing = pool.client.run(INSERT, "write", statement_class="filings")
+    assert missing.refusal is not None and missing.refusal.kind is RefusalKind.KEY_REQUIRED
+
+
+def test_bounded_read_uses_a_replica(pool: PoolStandin) -> None:
+    """Guards against replicas that never serve reads."""
+    create(pool)
+    written = pool.client.run(INSERT, "write")
+    answers = [pool.client.run(COUNT, max_age_ms=500.0, token=written.position) for _ in range(20)]
+    rows = {answer.result.rows if answer.result else None for answer in answers}
+    assert rows == {((1,),)}
+    replica = [answer for answer in answers if answer.role == "replica"]
+    assert len(replica) >= 15
+    assert all(answer.age_ms is not None and answer.age_ms <= 500 for answer in replica)
+
+
+def test_read_access_cannot_write(pool: PoolStandin) -> None:
+    """Guards against a write that is retried because it was declared as a read."""
+    create(pool)
+    answer = pool.client.run(INSERT, "read")
+    assert answer.outcome is Outcome.NOT_RUN
+    read = pool.client.run(COUNT)
+    assert read.result is not None and read.result.rows == ((0,),)
+
+
+def test_transaction(pool: PoolStandin) -> None:
+    """Guards against statements of a transaction that run outside of it."""
+    create(pool)
+    begun = pool.client.call(BeginRequest("b1", "club", "survey", "revisions", 5000.0, 1))
+    assert begun.transaction is not None
+    id_ = begun.transaction
+    first = pool.client.call(TransactionStatement("s1", "club", id_, INSERT, (), 5000.0))
+    assert first.outcome is Outcome.DONE, first
+    outside = pool.client.run(COUNT)
+    assert outside.result is not None and outside.result.rows == ((0,),)
+    ended = pool.client.call(FinishRequest("f1", "club", id_, True, 5000.0))
+    assert ended.outcome is Outcome.DONE
+    inside = pool.client.run(COUNT, token=ended.position)
+    assert inside.result is not None and inside.result.rows == ((1,),)
+    again = pool.client.call(FinishRequest("f2", "club", id_, True, 5000.0))
+    assert again.refusal is not None and again.refusal.kind is RefusalKind.UNKNOWN_TRANSACTION
+
+
+def test_sigterm_finishes_work_in_flight(pool: PoolStandin) -> None:
+    """Guards against requests that are cut by a restart of the pool."""
+    create(pool)
+    slow = pool.client.send(pool.client.statement("/* cost_ms=400 */ SELECT 1"))
+    pool.client.run(COUNT)
+    pool.process.popen.terminate()
+    assert slow.get(timeout=5).outcome is Outcome.DONE
+    assert pool.process.popen.wait(5) == 0
