--- a/siskindale/runtime/program.py
+++ b/siskindale/runtime/program.py
@@ -13,6 +13,7 @@
 from siskindale.context import Environment
 from siskindale.exits import ExitStatus
 from siskindale.membership.directory import Directory
+from siskindale.membership.relay import DirectoryClient, DirectoryServer
 from siskindale.models.bundle import Bundle
 from siskindale.models.settings import (
     ControllerSettings,
@@ -20,13 +21,13 @@
     PoolSettings,
     Settings,
 )
-from siskindale.models.wire import DrainNotice
+from siskindale.models.wire import AliveReply, AliveRequest, DrainNotice
 from siskindale.platform.interface import PLATFORM_DRIVERS, Platform
 from siskindale.runtime import logs
 from siskindale.runtime.commands import print_errors
 from siskindale.runtime.health import Report, health_server
 from siskindale.runtime.shutdown import Shutdown
-from siskindale.transport.mailbox import Mailbox
+from siskindale.transport.mailbox import Delivery, Mailbox
 
 # Sockets send in the background: messages queued just before the exit need this time to leave.
 FLUSH_S = 0.2
@@ -143,7 +144,8 @@
     directory = Directory(settings, platform)
     inbox = getattr(settings, kind).inbox
     mailbox = Mailbox(f"{settings.vm}/{kind}", inbox, env.clock)
-    bundles = BundleFollower(settings, platform, mailbox, directory, env.clock)
+    relay = None if kind is Kind.CONTROLLER else settings.controller.inbox.inbox_url
+    bundles = BundleFollower(settings, platform, mailbox, directory, env.clock, relay=relay)
     return Parts(kind, settings, env, platform, directory, mailbox, bundles, Shutdown())
 
 
@@ -170,14 +172,23 @@
 
 def _start(parts: Parts, service: Service, health: WSGIServer) -> None:
     parts.shutdown.install()
+    parts.mailbox.on(AliveRequest, lambda delivery: answer_alive(parts.mailbox, delivery))
     health.start()
     parts.mailbox.start()
-    parts.directory.start(announce=parts.kind is Kind.CONTROLLER)
+    _start_directory(parts)
     parts.bundles.start()
     service.start()
     logs.logger().info("program-started", boot=parts.mailbox.boot)
 
 
+def _start_directory(parts: Parts) -> None:
+    if parts.kind is Kind.CONTROLLER:
+        DirectoryServer(parts.directory, parts.mailbox)
+        parts.directory.start()
+    else:
+        DirectoryClient(parts.directory, parts.mailbox, parts.env.clock).start()
+
+
 def _stop(parts: Parts, service: Service, health: WSGIServer) -> None:
     logs.logger().info("drain-started")
     notify_drain(parts)
@@ -195,3 +206,9 @@
         url = getattr(member, peer_kind).inbox_url
         if url != parts.mailbox.url:
             parts.mailbox.send(url, DrainNotice(f"{parts.settings.vm}/{parts.kind}"))
+
+
+def answer_alive(mailbox: Mailbox, delivery: Delivery) -> None:
+    """Answers a sign of life without waiting for room: the peer asks again."""
+    envelope = delivery.envelope
+    mailbox.send(envelope.reply_to, AliveReply(), envelope.correlation_id, envelope.sender_boot)
