Count the bytes that a program exchanges, by purpose

Cause: the control budget of 8 KB/s a node cannot be checked without a figure; the kernel's per-process counters do not cover sockets. Change: counters in the HTTP client and the mailbox.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -15,6 +15,7 @@
 from bench.history import CUT, DONE, NOT_SENT, UNKNOWN, Event
 from siskindale.models.settings import Address
 from siskindale.transport.http import HttpClient, HttpResponse
+from siskindale.transport.metrics import Purpose
 
 MAX_KEPT = 256
 # A response that comes a little after the deadline is still an answer.
@@ -100,7 +101,8 @@
         self._record = record
         self._vms = list(access.entries)
         self._clients = {
-            vm: HttpClient(address, headers, MAX_KEPT) for vm, address in access.entries.items()
+            vm: HttpClient(address, headers, Purpose.STATEMENTS, MAX_KEPT)
+            for vm, address in access.entries.items()
         }
 
     def new_session(self, number: int) -> Session:
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -29,6 +29,7 @@
 )
 from siskindale.targets.http import HttpTargets
 from siskindale.transport.http import HttpClient
+from siskindale.transport.metrics import Purpose
 
 PROGRAMS = ("entry", "pool", "controller")
 CALLER = "club"
@@ -253,7 +254,7 @@
         """Creates the tables through the callers' API; repeated until the group is writable."""
         entry = next(iter(self.vms.values())).settings.entry.listen
         headers = {"Authorization": f"Bearer {TOKEN}", "Content-Type": "application/json"}
-        client = HttpClient(entry, headers)
+        client = HttpClient(entry, headers, Purpose.STATEMENTS)
         for database in self.plan.databases:
             for sql, params in setup_statements(registers):
                 self._create(client, database, sql, params)
@@ -278,7 +279,7 @@
 
 def get(address: Address, path: str) -> bytes | None:
     """Returns the body of a response with status 200, else None."""
-    client = HttpClient(address, {})
+    client = HttpClient(address, {}, Purpose.CONTROL)
     answer = client.request("GET", path, b"", HTTP_TIMEOUT_S)
     client.close()
     if isinstance(answer, Success) and answer.unwrap().status == 200:
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -11,13 +11,14 @@
 from siskindale.models.bundle import Group, Target
 from siskindale.models.settings import Address, PlatformSettings
 from siskindale.transport.http import HttpClient
+from siskindale.transport.metrics import Purpose
 
 ADMIN_TIMEOUT_S = 5.0
 
 
 def post(address: Address, path: str, body: Any) -> Any:
     """Posts JSON to the administration of a stand-in; raises unless it succeeds."""
-    client = HttpClient(address, {"Content-Type": "application/json"})
+    client = HttpClient(address, {"Content-Type": "application/json"}, Purpose.CONTROL)
     response = client.request("POST", path, msgspec.json.encode(body), ADMIN_TIMEOUT_S).unwrap()
     client.close()
     if response.status != 200:
--- a/siskindale/platform/http.py
+++ b/siskindale/platform/http.py
@@ -20,6 +20,7 @@
     Write,
 )
 from siskindale.transport.http import HttpClient, HttpFailure, HttpResponse, identity_headers
+from siskindale.transport.metrics import Purpose
 
 _ENCODER = msgspec.json.Encoder()
 _DIGEST = re.compile(r"[0-9a-f]{64}")
@@ -44,7 +45,9 @@
     """One service of the platform under its address."""
 
     def __init__(self, address: Address, settings: PlatformSettings) -> None:
-        self._client = HttpClient(address, identity_headers("platform-client", settings.client))
+        self._client = HttpClient(
+            address, identity_headers("platform-client", settings.client), Purpose.PLATFORM
+        )
         self._timeout_s = settings.timeout_ms / 1000
 
     def exchange(
--- a/siskindale/targets/http.py
+++ b/siskindale/targets/http.py
@@ -31,6 +31,7 @@
     HttpResponse,
     identity_headers,
 )
+from siskindale.transport.metrics import Purpose, Traffic
 
 _ENCODER = msgspec.json.Encoder()
 
@@ -201,7 +202,9 @@
 
     def connect(self, target: Target, timeout_s: float) -> Result[DataConnection, TargetError]:
         """Opens a data connection, which takes the target's connection time."""
-        connected = HttpConnection.connect(target.data, self._headers, timeout_s)
+        connected = HttpConnection.connect(
+            target.data, self._headers, timeout_s, Traffic(Purpose.TARGET_DATA)
+        )
         if isinstance(connected, Failure):
             return Failure(_failed(connected.failure()))
         connection = connected.unwrap()
@@ -214,7 +217,9 @@
 
     def control(self, target: Target) -> ControlClient:
         """Returns a control client; it connects when first used."""
-        return HttpControlClient(HttpClient(target.control, self._headers), target.name)
+        return HttpControlClient(
+            HttpClient(target.control, self._headers, Purpose.TARGET_CONTROL), target.name
+        )
 
 
 def _refused(answer: Result[HttpResponse, HttpFailure]) -> TargetError | None:
--- a/siskindale/transport/http.py
+++ b/siskindale/transport/http.py
@@ -15,6 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from siskindale.models.settings import Address
+from siskindale.transport.metrics import Purpose, Traffic
 
 MAX_RESPONSE_BYTES = 64 << 20
 MAX_KEPT = 4
@@ -73,14 +74,21 @@
 class HttpConnection:
     """One connection; used by one greenlet at a time, unusable after any failure."""
 
-    def __init__(self, sock: socket.socket, address: Address, headers: Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        address: Address,
+        headers: Mapping[str, str],
+        traffic: Traffic,
+    ) -> None:
         self._socket = sock
+        self._traffic = traffic
         self._usable = True
         self._headers = _lines({"Host": str(address), **headers})
 
     @classmethod
     def connect(
-        cls, address: Address, headers: Mapping[str, str], timeout_s: float
+        cls, address: Address, headers: Mapping[str, str], timeout_s: float, traffic: Traffic
     ) -> Result["HttpConnection", HttpFailure]:
         """Opens a connection within `timeout_s` seconds."""
         try:
@@ -88,7 +96,7 @@
         except OSError as error:
             return Failure(HttpFailure(False, f"connect to {address}: {error}"))
         sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
-        return Success(cls(sock, address, headers))
+        return Success(cls(sock, address, headers, traffic))
 
     @property
     def usable(self) -> bool:
@@ -151,6 +159,7 @@
             if error.errno not in _NOT_SENT:
                 return False
             sent = 0
+        self._traffic.sent.inc(len(data))
         if sent < len(data):
             self._socket.settimeout(max(deadline - time.monotonic(), 0.001))
             self._socket.sendall(data[sent:])
@@ -166,6 +175,7 @@
             data = self._socket.recv(READ_BYTES)
             if not data:
                 raise ConnectionError("connection was closed before the response was complete")
+            self._traffic.received.inc(len(data))
             response.parser.feed_data(data)
         if response.excess:
             raise ValueError("more than one response arrived")
@@ -186,9 +196,14 @@
     """Keeps a few connections to one address, so that several requests may run at once."""
 
     def __init__(
-        self, address: Address, headers: Mapping[str, str], max_kept: int = MAX_KEPT
+        self,
+        address: Address,
+        headers: Mapping[str, str],
+        purpose: Purpose,
+        max_kept: int = MAX_KEPT,
     ) -> None:
         self._address = address
+        self._traffic = Traffic(purpose)
         self._headers = headers
         self._max_kept = max_kept
         self._kept: list[HttpConnection] = []
@@ -225,7 +240,7 @@
             if connection.usable:
                 return Success(connection)
             connection.close()
-        return HttpConnection.connect(self._address, self._headers, timeout_s)
+        return HttpConnection.connect(self._address, self._headers, timeout_s, self._traffic)
 
 
 def identity_headers(kind: str, name: str) -> dict[str, str]:
--- a/siskindale/transport/mailbox.py
+++ b/siskindale/transport/mailbox.py
@@ -18,6 +18,7 @@
 from siskindale.models.settings import Address
 from siskindale.models.wire import Body, Envelope
 from siskindale.transport import codec
+from siskindale.transport.metrics import Purpose, Traffic
 
 MAX_MESSAGE_BYTES = 64 << 20
 OUTBOX_MESSAGES = 4096
@@ -30,6 +31,13 @@
 Handler = Callable[["Delivery"], None]
 
 
+_STATEMENT_KINDS = frozenset({"statement", "begin", "transaction-statement", "finish", "answer"})
+
+
+def _purpose(kind: str) -> Purpose:
+    return Purpose.STATEMENTS if kind in _STATEMENT_KINDS else Purpose.CONTROL
+
+
 @attrs.frozen
 class Delivery:
     """A received message; `delay_s` is the time it spent beyond the sender's fastest message."""
@@ -63,6 +71,7 @@
         self._inbox = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES, recv_buffer_size=OUTBOX_MESSAGES)
         self._receiver: gevent.Greenlet | None = None
         self._dropped = 0
+        self._traffic = {purpose: Traffic(purpose) for purpose in Purpose}
 
     @property
     def boot(self) -> str:
@@ -118,10 +127,12 @@
             body=codec.pack(body),
             addressed_boot=addressed_boot,
         )
+        data = codec.encode(envelope)
         try:
-            self._outbox(url).socket.send(codec.encode(envelope), block=False)
+            self._outbox(url).socket.send(data, block=False)
         except pynng.TryAgain:
             return False
+        self._traffic[_purpose(body.kind)].sent.inc(len(data))
         return True
 
     def reply(self, delivery: Delivery, body: Body, timeout_s: float = 1.0) -> bool:
@@ -175,6 +186,7 @@
             self._dropped += 1
             return
         envelope, body = decoded.unwrap()
+        self._traffic[_purpose(envelope.kind)].received.inc(len(data))
         handler = self._handlers.get(envelope.kind)
         if handler is None or envelope.addressed_boot not in ("", self._boot):
             self._dropped += 1
--- a/tests/pool/conftest.py
+++ b/tests/pool/conftest.py
@@ -23,6 +23,7 @@
 from siskindale.platform.interface import Condition, Write
 from siskindale.transport.http import HttpClient
 from siskindale.transport.mailbox import Delivery, Mailbox
+from siskindale.transport.metrics import Purpose
 from tests.fakes.settings import KEYS, signed, vm_settings
 
 CLASSES = (
@@ -90,7 +91,7 @@
 
     def health(self, path: str) -> tuple[int, bytes]:
         """Returns status and body of a page of the health server."""
-        client = HttpClient(self.settings.pool.health, {})
+        client = HttpClient(self.settings.pool.health, {}, Purpose.CONTROL)
         answer = client.request("GET", path, b"", 2.0).unwrap()
         client.close()
         return answer.status, answer.body
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -18,6 +18,7 @@
 from siskindale.targets.http import HttpTargets
 from siskindale.targets.interface import Begin, Commit, Statement, TargetFailure
 from siskindale.transport.http import HttpConnection, HttpFailure
+from siskindale.transport.metrics import Purpose, Traffic
 
 TIMEOUT_S = 5.0
 CREATE = Statement("CREATE TABLE t (n INTEGER PRIMARY KEY)")
@@ -266,7 +267,7 @@
     """Guards against a timeout that starts again with each byte."""
     server = reply_with(*(b"HTTP/1.1 200 OK\r\nX: "[i : i + 1] for i in range(20)), pause_s=0.1)
     address = Address("127.0.0.1", server.server_port)
-    connection = HttpConnection.connect(address, {}, 1.0).unwrap()
+    connection = HttpConnection.connect(address, {}, 1.0, Traffic(Purpose.TARGET_DATA)).unwrap()
     started = time.monotonic()
     failure = connection.request("GET", "/", b"", 0.3).failure()
     assert isinstance(failure, HttpFailure)
