--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 import typer
 from returns.result import Failure
 
+from bench import commands
 from bench.checks import Status
 from bench.experiment import DeploymentPlan, Experiment, Fault, Workload, load_experiment
 from bench.faults import random_schedule
@@ -20,6 +21,7 @@
 from bench.run import Run, run_experiment
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False, no_args_is_help=True)
+app.add_typer(commands.app)
 
 DEMO = Experiment(
     workload=Workload(seconds=20.0, rate=150.0),
--- a/siskindale/transport/mailbox.py
+++ b/siskindale/transport/mailbox.py
@@ -34,10 +34,6 @@
 _STATEMENT_KINDS = frozenset({"statement", "begin", "transaction-statement", "finish", "answer"})
 
 
-def _purpose(kind: str) -> Purpose:
-    return Purpose.STATEMENTS if kind in _STATEMENT_KINDS else Purpose.CONTROL
-
-
 @attrs.frozen
 class Delivery:
     """A received message; `delay_s` is the time it spent beyond the sender's fastest message."""
@@ -63,6 +59,7 @@
         self._name = name
         self._boot = uuid.uuid4().hex
         self._url = address.inbox_url
+        self._local = f"tcp://{address.host}:"
         self._clock = clock
         self._correlation = itertools.count(1)
         self._outboxes: dict[str, _Outbox] = {}
@@ -132,7 +129,7 @@
             self._outbox(url).socket.send(data, block=False)
         except pynng.TryAgain:
             return False
-        self._traffic[_purpose(body.kind)].sent.inc(len(data))
+        self._traffic[self._purpose(body.kind, url)].sent.inc(len(data))
         return True
 
     def reply(self, delivery: Delivery, body: Body, timeout_s: float = 1.0) -> bool:
@@ -186,13 +183,18 @@
             self._dropped += 1
             return
         envelope, body = decoded.unwrap()
-        self._traffic[_purpose(envelope.kind)].received.inc(len(data))
+        self._traffic[self._purpose(envelope.kind, envelope.reply_to)].received.inc(len(data))
         handler = self._handlers.get(envelope.kind)
         if handler is None or envelope.addressed_boot not in ("", self._boot):
             self._dropped += 1
             return
         handler(Delivery(envelope, body, self._delay(envelope)))
 
+    def _purpose(self, kind: str, peer: str) -> Purpose:
+        if kind in _STATEMENT_KINDS:
+            return Purpose.STATEMENTS
+        return Purpose.LOCAL if peer.startswith(self._local) else Purpose.CONTROL
+
     def _delay(self, envelope: Envelope) -> float:
         transit = self._clock.monotonic() - envelope.sent_at
         fastest = min(transit, self._fastest.get(envelope.sender_boot, transit))
--- a/siskindale/transport/metrics.py
+++ b/siskindale/transport/metrics.py
@@ -8,13 +8,17 @@
 
 
 class Purpose(enum.StrEnum):
-    """What a connection is for; `STATEMENTS` and `CONTROL` are messages between programs."""
+    """What a connection is for; the last three are messages between programs.
+
+    `LOCAL` messages stay within the VM and do not count against its control budget.
+    """
 
     PLATFORM = "platform"
     TARGET_CONTROL = "target-control"
     TARGET_DATA = "target-data"
     STATEMENTS = "statements"
     CONTROL = "control"
+    LOCAL = "local"
 
 
 class Traffic:
