--- /dev/null
+++ b/tests/fakes/database.py
@@ -0,0 +1,200 @@
+"""Fake data side of the targets of a `FakeGroup`: sessions, transactions and a tiny SQL.
+
+`WRITE` appends its parameters, `READ` returns all of them; the statements of keyed writes work on
+tables that are rebuilt from the log, as a replayed log is what a target consists of.
+"""
+
+import itertools
+from collections.abc import Iterable, Sequence
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from siskindale.models.group import LogPosition, Role
+from siskindale.models.wire import StatementResult
+from siskindale.pool.systems import idempotency as keyed
+from siskindale.targets.interface import (
+    BatchResult,
+    Begin,
+    Commit,
+    Statement,
+    Step,
+    TargetError,
+    TargetFailure,
+)
+from tests.fakes.group import FakeGroup, FakeTarget
+
+WRITE = "WRITE"
+READ = "READ"
+SCHEMA = (keyed.CREATE_REQUESTS, keyed.CREATE_INDEX, keyed.CREATE_WATERMARK)
+
+Ran = tuple[str, tuple]
+
+
+@attrs.define
+class View:
+    """Tables that a sequence of statements builds."""
+
+    effects: list[tuple] = attrs.field(factory=list)
+    keys: dict[tuple, list] | None = None
+    watermark: int = 0
+
+    def run(self, sql: str, params: tuple) -> StatementResult | TargetFailure:
+        """Runs a statement."""
+        if sql == READ:
+            return StatementResult(("id",), tuple((effect[0],) for effect in self.effects))
+        if sql == WRITE:
+            self.effects.append(params)
+            return StatementResult((), (), 1)
+        if sql in SCHEMA:
+            self.keys = {} if self.keys is None else self.keys
+            return StatementResult()
+        if self.keys is None:
+            return TargetFailure.STATEMENT
+        return self._run_keyed(self.keys, sql, params)
+
+    def _run_keyed(
+        self, keys: dict[tuple, list], sql: str, params: tuple
+    ) -> StatementResult | TargetFailure:
+        if sql == keyed.INSERT_KEY:
+            if params[:2] in keys:
+                return TargetFailure.CONSTRAINT
+            if params[4] <= self.watermark:
+                return StatementResult()
+            keys[params[:2]] = [params[2], None, params[3]]
+            return StatementResult((), (), 1)
+        if sql == keyed.RECORD_RESULT:
+            keys[params[1:]][1] = params[0]
+            return StatementResult((), (), 1)
+        if sql == keyed.LOOK_UP:
+            found = keys.get(params)
+            return StatementResult(("digest", "result"), (tuple(found[:2]),) if found else ())
+        if sql == keyed.ADVANCE_WATERMARK:
+            self.watermark = max(self.watermark, params[0])
+            return StatementResult()
+        if sql == keyed.DELETE_PRUNED:
+            for key in [key for key, row in keys.items() if row[2] <= params[0]]:
+                del keys[key]
+            return StatementResult()
+        return TargetFailure.STATEMENT
+
+
+def view(statements: Iterable[Ran]) -> View:
+    """Returns the tables after some statements."""
+    found = View()
+    for sql, params in statements:
+        found.run(sql, params)
+    return found
+
+
+def logged(target: FakeTarget, upto: int | None = None) -> list[Ran]:
+    """Returns the statements of a target's log."""
+    entries = (e.payload for e in target.log[:upto] if isinstance(e.payload, tuple))
+    return list(itertools.chain.from_iterable(entries))
+
+
+@attrs.define(eq=False)
+class FakeSession:
+    """Server side of a data connection."""
+
+    target: str
+    mode: str | None = None
+    statements: list[Ran] = attrs.field(factory=list)
+    seen: tuple[int, LogPosition, Role, bool] | None = None
+    base: list[Ran] = attrs.field(factory=list)
+    closed: bool = False
+
+
+class FakeDatabase:
+    """Runs batches on the targets of a group; one write transaction at a time on each."""
+
+    def __init__(self, group: FakeGroup) -> None:
+        self.group = group
+        self.writers: dict[str, FakeSession] = {}
+
+    def close(self, session: FakeSession) -> None:
+        """Closes a connection; its transaction is rolled back."""
+        self.rollback(session)
+        session.closed = True
+
+    def rollback(self, session: FakeSession) -> None:
+        """Ends a session's transaction without effect."""
+        session.mode, session.statements, session.seen = None, [], None
+        if self.writers.get(session.target) is session:
+            del self.writers[session.target]
+
+    def abort_writer(self, name: str) -> None:
+        """Rolls back the write transaction of a target that was fenced or crashed."""
+        if name in self.writers:
+            self.rollback(self.writers[name])
+
+    def blocked(self, session: FakeSession, steps: Sequence[Step]) -> bool:
+        """Whether a batch waits for another write transaction."""
+        writes = any(isinstance(s, Statement) and s.sql == WRITE for s in steps)
+        begins = steps[0] == Begin("write") or (session.mode is None and writes)
+        holder = self.writers.get(session.target)
+        return begins and holder is not None and holder is not session
+
+    def run(self, session: FakeSession, steps: Sequence[Step]) -> Result[BatchResult, TargetError]:
+        """Runs a batch that is not blocked."""
+        results: list[StatementResult | None] = []
+        implicit = session.mode is None and isinstance(steps[0], Statement)
+        if implicit:
+            mode = "write" if any(getattr(s, "sql", "") == WRITE for s in steps) else "read"
+            steps = [Begin(mode), *steps, Commit()]
+        for index, step in enumerate(steps):
+            outcome = self._step(session, step)
+            if isinstance(outcome, TargetFailure):
+                self.rollback(session)
+                at = None if implicit and isinstance(step, Commit) else index - implicit
+                return Failure(TargetError(outcome, "fake", at))
+            results.append(outcome)
+        if implicit:
+            results = results[1:-1]
+        assert session.seen is not None
+        term, at_position, role, matched = session.seen
+        return Success(BatchResult(tuple(results), term, at_position, role, matched))
+
+    def _step(self, session: FakeSession, step: Step) -> StatementResult | TargetFailure | None:
+        target = self.group.targets[session.target]
+        if isinstance(step, Begin):
+            return self._begin(session, target, step.mode)
+        if session.mode is None:
+            return TargetFailure.ROLE
+        if isinstance(step, Statement):
+            if session.mode == "read" and step.sql == WRITE:
+                return TargetFailure.STATEMENT
+            result = view(session.base + session.statements).run(step.sql, step.params)
+            if isinstance(result, StatementResult) and step.sql not in (READ, keyed.LOOK_UP):
+                session.statements.append((step.sql, step.params))
+            return result
+        if isinstance(step, Commit):
+            return self._commit(session, target)
+        self.rollback(session)
+        session.seen = self._look(target)
+        return None
+
+    def _begin(self, session: FakeSession, target: FakeTarget, mode: str) -> TargetFailure | None:
+        if mode == "write" and target.role is not Role.PRIMARY:
+            return TargetFailure.ROLE
+        session.mode, session.statements = mode, []
+        session.base = logged(target, target.applied)
+        session.seen = self._look(target)
+        if mode == "write":
+            self.writers[session.target] = session
+        return None
+
+    def _commit(self, session: FakeSession, target: FakeTarget) -> TargetFailure | None:
+        if session.mode == "write" and target.role is not Role.PRIMARY:
+            return TargetFailure.ROLE
+        seen = session.seen
+        if session.statements:
+            at = self.group._append(target, payload=tuple(session.statements))
+            seen = (target.term, at, target.role, target.matched)
+        self.rollback(session)
+        session.seen = seen
+        return None
+
+    def _look(self, target: FakeTarget) -> tuple[int, LogPosition, Role, bool]:
+        at = target.log[target.applied - 1].at if target.applied else LogPosition()
+        return target.term, at, target.role, target.matched
