--- a/tests/bundles/test_following.py
+++ b/tests/bundles/test_following.py
@@ -230,10 +230,9 @@
     deployment.roll(2)
     deployment.step(0)
     deployment.network.queue.clear()
-    deployment.platform.faults.tables_down = True
     deployment.clock.now += 1
     deployment.restart(0)
-    deployment.followers[0].poll()
+    deployment.refuse_tables(0)
     deployment.network.deliver_all()
     deployment.followers[0].fetch()
     assert not deployment.followers[0].ready
