Free ended requests at once and check idle connections once a second

The machine found a recorded result that ran outside of its transaction after the target rolled it back (in the fake; the stand-in refuses it). Change: timers hold numbers; idle connections are checked once a second; a result that was not recorded in exactly one row counts as lost.

--- a/siskindale/pool/effects.py
+++ b/siskindale/pool/effects.py
@@ -100,6 +100,13 @@
     error: TargetError
 
 
+@attrs.frozen(eq=False)
+class ConnectionLost:
+    """The target has closed an idle connection."""
+
+    connection: ConnectionRow
+
+
 @attrs.frozen(eq=False)
 class StatusEnded:
     """Status or failure; `sent_at` is the time at which the request was sent."""
@@ -138,6 +145,7 @@
     | BatchEnded
     | ConnectionOpened
     | ConnectionFailed
+    | ConnectionLost
     | StatusEnded
     | GroupNoticed
     | BundleAdopted
--- a/siskindale/pool/engine.py
+++ b/siskindale/pool/engine.py
@@ -8,6 +8,7 @@
     BatchEnded,
     BundleAdopted,
     ConnectionFailed,
+    ConnectionLost,
     ConnectionOpened,
     DirectoryChanged,
     Effect,
@@ -81,6 +82,10 @@
     return connections.opened(tables, event)
 
 
+def _lost(tables: Tables, event: ConnectionLost, now: float, _: Random) -> list[Effect]:
+    return connections.lost(tables, event)
+
+
 def _open_failed(
     tables: Tables, event: ConnectionFailed, now: float, random: Random
 ) -> list[Effect]:
@@ -125,6 +130,7 @@
     BatchEnded: _batch,
     ConnectionOpened: _opened,
     ConnectionFailed: _open_failed,
+    ConnectionLost: _lost,
     StatusEnded: _status,
     GroupNoticed: _noticed,
     BundleAdopted: _bundle,
@@ -152,7 +158,7 @@
 
 
 _TIMERS: dict[TimerKind, Callable[[Tables, Any, float, Random], list[Effect]]] = {
-    TimerKind.DEADLINE: lambda t, row, now, _: expiry.deadline(t, row, now),
+    TimerKind.DEADLINE: lambda t, number, now, _: expiry.deadline(t, number),
     TimerKind.RETRY: lambda t, row, now, _: admission.retry_due(t, row, now),
     TimerKind.TRANSACTION: lambda t, row, now, _: transactions.due(t, row, now),
     TimerKind.CONFIRM: _confirm_due,
--- a/siskindale/pool/program.py
+++ b/siskindale/pool/program.py
@@ -19,6 +19,7 @@
 from siskindale.pool.assignment import Assignment
 from siskindale.pool.effects import (
     BundleAdopted,
+    ConnectionLost,
     DirectoryChanged,
     Effect,
     Event,
@@ -163,11 +164,18 @@
             gevent.sleep(HOUSEKEEPING_S)
             metrics.collect(self._tables)
             self._parts.mailbox.close_idle()
+            self._find_lost_connections()
             served = self._tables.groups.values()
             self._workers.keep_controls(
                 [target.definition for group in served for target in group.targets.values()]
             )
 
+    def _find_lost_connections(self) -> None:
+        # Targets close connections that are idle for long; the next request must not find out.
+        for row in list(self._tables.connections.values()):
+            if not row.busy and not row.handle.usable:
+                self._report(ConnectionLost(row))
+
     def _groups(self) -> dict[str, Any]:
         return {
             group.name: {
--- a/siskindale/pool/systems/completion.py
+++ b/siskindale/pool/systems/completion.py
@@ -135,6 +135,11 @@
 
 
 def _recorded(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
+    assert request.batch is not None
+    recorded = request.batch.results[0]
+    if recorded is None or recorded.row_count != 1:
+        # The target has lost the transaction, so this batch ran outside of it.
+        return _release(tables, request) + _lost(tables, request, now)
     return _release(tables, request) + _confirm(tables, request, now)
 
 
@@ -254,9 +259,10 @@
     target, transaction = connection.target, connection.transaction
     effects: list[Effect] = []
     if error.kind in (TargetFailure.UNKNOWN, TargetFailure.UNREACHABLE):
-        discovery.avoid(target, now)
-        discovery.poll_soon(tables, request.group, now)
         effects += connections.close(tables, connection)
+        discovery.poll_soon(tables, request.group, now)
+    if error.kind is TargetFailure.UNKNOWN:
+        discovery.avoid(target, now)
     if transaction is not None:
         # Every error rolls the transaction back.
         transactions.end(tables, transaction)
@@ -323,6 +329,9 @@
         request.stage, request.lane = Stage.READ, Lane.PRIMARY
     if request.stage is Stage.KEY_RECORD:
         request.stage = Stage.KEY_INSERT
+    if error.kind is TargetFailure.UNREACHABLE:
+        # The connection was closed while idle; the next one is tried at once.
+        return admission.requeue(tables, request, request.stage, request.lane, now)
     return admission.later(tables, request, now, ROLE_RETRY_S)
 
 
--- a/siskindale/pool/systems/connections.py
+++ b/siskindale/pool/systems/connections.py
@@ -7,6 +7,7 @@
 from siskindale.pool.effects import (
     CloseConnection,
     ConnectionFailed,
+    ConnectionLost,
     ConnectionOpened,
     Effect,
     OpenConnection,
@@ -76,21 +77,30 @@
 
 
 def release(tables: Tables, connection: ConnectionRow) -> list[Effect]:
-    """Returns a connection outside of a transaction to the idle ones."""
+    """Returns a connection outside of a transaction to the idle ones.
+
+    Only answered connections come here; whether the target has closed one is found out when it
+    is used next, because asking each time costs as much as a part of the request.
+    """
     connection.request = None
     connection.transaction = None
     if connection.closed:
         return []
-    if (
-        not connection.handle.usable
-        or connection.target.name not in connection.target.group.targets
-    ):
+    target = connection.target
+    if target.group.targets.get(target.name) is not target:
         return close(tables, connection)
-    connection.target.idle.append(connection)
-    tables.touch(connection.target.group)
+    target.idle.append(connection)
+    tables.touch(target.group)
     return []
 
 
+def lost(tables: Tables, event: ConnectionLost) -> list[Effect]:
+    """Closes an idle connection that the target has closed, so that another one is opened."""
+    connection = event.connection
+    idle = not connection.busy and connection.transaction is None
+    return close(tables, connection) if idle else []
+
+
 def close(tables: Tables, connection: ConnectionRow) -> list[Effect]:
     """Closes a connection in whatever state; the target rolls an open transaction back."""
     if connection.closed:
--- a/siskindale/pool/systems/expiry.py
+++ b/siskindale/pool/systems/expiry.py
@@ -5,7 +5,7 @@
 from siskindale.pool import answers
 from siskindale.pool.effects import Effect
 from siskindale.pool.systems import transactions
-from siskindale.pool.tables import Phase, RequestRow, Tables
+from siskindale.pool.tables import Tables
 
 # A copy that comes later than this after the budget is recognised by its delay.
 SEEN_MARGIN_S = 5.0
@@ -31,9 +31,10 @@
             tables.seen.pop(request_id, None)
 
 
-def deadline(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
-    """Ends a request at its deadline."""
-    if request.phase is Phase.ENDED:
+def deadline(tables: Tables, number: int) -> list[Effect]:
+    """Ends a request at its deadline; the timer of an ended one keeps only its number."""
+    request = tables.requests.get(number)
+    if request is None:
         return []
     transaction = request.transaction
     if transaction is not None and transaction.number in tables.transactions:
--- a/siskindale/pool/systems/intake.py
+++ b/siskindale/pool/systems/intake.py
@@ -140,7 +140,7 @@
     tables.requests[row.number] = row
     caller = event.body.caller
     tables.callers[caller] = tables.callers.get(caller, 0) + 1
-    timers.schedule(tables, deadline, TimerKind.DEADLINE, row)
+    timers.schedule(tables, deadline, TimerKind.DEADLINE, row.number)
     return row
 
 
--- a/tests/fakes/database.py
+++ b/tests/fakes/database.py
@@ -64,8 +64,9 @@
             keys[params[:2]] = [params[2], None, params[3]]
             return StatementResult((), (), 1)
         if sql == keyed.RECORD_RESULT:
-            keys[params[1:]][1] = params[0]
-            return StatementResult((), (), 1)
+            found = keys.get(params[1:], [None, None])
+            found[1] = params[0]
+            return StatementResult((), (), int(params[1:] in keys))
         if sql == keyed.LOOK_UP:
             found = keys.get(params)
             return StatementResult(("digest", "result"), (tuple(found[:2]),) if found else ())
@@ -103,6 +104,7 @@
     seen: tuple[int, LogPosition, Role, bool] | None = None
     base: list[Ran] = attrs.field(factory=list)
     closed: bool = False
+    aborted: bool = False
 
 
 class FakeDatabase:
@@ -126,6 +128,7 @@
     def abort_writer(self, name: str) -> None:
         """Rolls back the write transaction of a target that was fenced or crashed."""
         if name in self.writers:
+            self.writers[name].aborted = True
             self.rollback(self.writers[name])
 
     def blocked(self, session: FakeSession, steps: Sequence[Step]) -> bool:
@@ -138,6 +141,9 @@
     def run(self, session: FakeSession, steps: Sequence[Step]) -> Result[BatchResult, TargetError]:
         """Runs a batch that is not blocked."""
         results: list[StatementResult | None] = []
+        aborted, session.aborted = session.aborted, False
+        if aborted and not isinstance(steps[0], Begin):
+            return Failure(TargetError(TargetFailure.ROLE, "rolled back by the target", 0))
         implicit = session.mode is None and isinstance(steps[0], Statement)
         if implicit:
             mode = "write" if any(getattr(s, "sql", "") == WRITE for s in steps) else "read"
