--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -109,7 +109,9 @@
 
 def _run(experiment: Experiment, directory: Path | None, plot: bool = False) -> None:
     """Runs an experiment and prints its report; exits with 1 if a promise was broken."""
-    signal.signal(signal.SIGTERM, _interrupt)
+    # A shell starts background jobs with SIGINT ignored, so both handlers are set here.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _interrupt)
     started = time.monotonic()
     try:
         if directory is None:
