--- a/siskindale/entry/forwarding.py
+++ b/siskindale/entry/forwarding.py
@@ -113,6 +113,7 @@
 
 def tick(tables: Tables, routes: Routes, now: float) -> list[Effect]:
     """Looks at the pools and at the requests that are due."""
+    _refill(tables.budget, now)
     effects: list[Effect] = watch_pools(tables, now)
     while tables.timers and tables.timers[0][0] <= now:
         _, number = heapq.heappop(tables.timers)
