--- a/siskindale/transport/http.py
+++ b/siskindale/transport/http.py
@@ -15,6 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from siskindale.models.settings import Address
+from siskindale.transport.metrics import Purpose, Traffic
 
 MAX_RESPONSE_BYTES = 64 << 20
 MAX_KEPT = 4
@@ -33,10 +34,11 @@
 
 @attrs.frozen
 class HttpResponse:
-    """Status code and whole body of a response."""
+    """Status code, whole body and headers of a response; header names are lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = attrs.field(factory=dict)
 
 
 class _Response:
@@ -45,11 +47,15 @@
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.keep_alive = False
+        self.headers: dict[str, str] = {}
         self.chunks: list[bytes] = []
         self.size = 0
         self.complete = False
         self.excess = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, chunk: bytes) -> None:
         self.size += len(chunk)
         if self.size > MAX_RESPONSE_BYTES:
@@ -68,15 +74,21 @@
 class HttpConnection:
     """One connection; used by one greenlet at a time, unusable after any failure."""
 
-    def __init__(self, sock: socket.socket, address: Address, headers: Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        address: Address,
+        headers: Mapping[str, str],
+        traffic: Traffic,
+    ) -> None:
         self._socket = sock
+        self._traffic = traffic
         self._usable = True
-        fixed = {"Host": str(address), **headers}
-        self._headers = "".join(f"{name}: {value}\r\n" for name, value in fixed.items())
+        self._headers = _lines({"Host": str(address), **headers})
 
     @classmethod
     def connect(
-        cls, address: Address, headers: Mapping[str, str], timeout_s: float
+        cls, address: Address, headers: Mapping[str, str], timeout_s: float, traffic: Traffic
     ) -> Result["HttpConnection", HttpFailure]:
         """Opens a connection within `timeout_s` seconds."""
         try:
@@ -84,7 +96,7 @@
         except OSError as error:
             return Failure(HttpFailure(False, f"connect to {address}: {error}"))
         sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
-        return Success(cls(sock, address, headers))
+        return Success(cls(sock, address, headers, traffic))
 
     @property
     def usable(self) -> bool:
@@ -97,7 +109,12 @@
         self._socket.close()
 
     def request(
-        self, method: str, path: str, body: bytes, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
     ) -> Result[HttpResponse, HttpFailure]:
         """Sends one request and reads its response; closes the connection on any failure."""
         if not self.usable:
@@ -107,7 +124,7 @@
         # Not usable while a response is outstanding, also when the greenlet is killed meanwhile.
         self._usable = False
         try:
-            if not self._send(self._encode(method, path, body), deadline):
+            if not self._send(self._encode(method, path, body, headers or {}), deadline):
                 self.close()
                 return Failure(HttpFailure(False, "connection is closed"))
             return Success(self._receive(deadline))
@@ -118,8 +135,9 @@
             self.close()
             raise
 
-    def _encode(self, method: str, path: str, body: bytes) -> bytes:
-        head = f"{method} {path} HTTP/1.1\r\n{self._headers}Content-Length: {len(body)}\r\n\r\n"
+    def _encode(self, method: str, path: str, body: bytes, headers: Mapping[str, str]) -> bytes:
+        length = f"Content-Length: {len(body)}\r\n\r\n"
+        head = f"{method} {path} HTTP/1.1\r\n{self._headers}{_lines(headers)}{length}"
         return head.encode("ascii") + body
 
     def _quiet(self) -> bool:
@@ -141,6 +159,7 @@
             if error.errno not in _NOT_SENT:
                 return False
             sent = 0
+        self._traffic.sent.inc(len(data))
         if sent < len(data):
             self._socket.settimeout(max(deadline - time.monotonic(), 0.001))
             self._socket.sendall(data[sent:])
@@ -156,6 +175,7 @@
             data = self._socket.recv(READ_BYTES)
             if not data:
                 raise ConnectionError("connection was closed before the response was complete")
+            self._traffic.received.inc(len(data))
             response.parser.feed_data(data)
         if response.excess:
             raise ValueError("more than one response arrived")
@@ -163,19 +183,38 @@
             self._usable = True
         else:
             self.close()
-        return HttpResponse(response.parser.get_status_code(), b"".join(response.chunks))
+        return HttpResponse(
+            response.parser.get_status_code(), b"".join(response.chunks), response.headers
+        )
+
+
+def _lines(headers: Mapping[str, str]) -> str:
+    return "".join(f"{name}: {value}\r\n" for name, value in headers.items())
 
 
 class HttpClient:
     """Keeps a few connections to one address, so that several requests may run at once."""
 
-    def __init__(self, address: Address, headers: Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        headers: Mapping[str, str],
+        purpose: Purpose,
+        max_kept: int = MAX_KEPT,
+    ) -> None:
         self._address = address
+        self._traffic = Traffic(purpose)
         self._headers = headers
+        self._max_kept = max_kept
         self._kept: list[HttpConnection] = []
 
     def request(
-        self, method: str, path: str, body: bytes, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
     ) -> Result[HttpResponse, HttpFailure]:
         """Sends one request, at most once, within `timeout_s` seconds."""
         deadline = time.monotonic() + timeout_s
@@ -183,8 +222,8 @@
         if isinstance(connected, Failure):
             return connected
         connection = connected.unwrap()
-        answer = connection.request(method, path, body, deadline - time.monotonic())
-        if connection.usable and len(self._kept) < MAX_KEPT:
+        answer = connection.request(method, path, body, deadline - time.monotonic(), headers)
+        if connection.usable and len(self._kept) < self._max_kept:
             self._kept.append(connection)
         else:
             connection.close()
@@ -201,7 +240,7 @@
             if connection.usable:
                 return Success(connection)
             connection.close()
-        return HttpConnection.connect(self._address, self._headers, timeout_s)
+        return HttpConnection.connect(self._address, self._headers, timeout_s, self._traffic)
 
 
 def identity_headers(kind: str, name: str) -> dict[str, str]:
--- a/siskindale/transport/mailbox.py
+++ b/siskindale/transport/mailbox.py
@@ -18,6 +18,7 @@
 from siskindale.models.settings import Address
 from siskindale.models.wire import Body, Envelope
 from siskindale.transport import codec
+from siskindale.transport.metrics import Purpose, Traffic
 
 MAX_MESSAGE_BYTES = 64 << 20
 OUTBOX_MESSAGES = 4096
@@ -30,6 +31,9 @@
 Handler = Callable[["Delivery"], None]
 
 
+_STATEMENT_KINDS = frozenset({"statement", "begin", "transaction-statement", "finish", "answer"})
+
+
 @attrs.frozen
 class Delivery:
     """A received message; `delay_s` is the time it spent beyond the sender's fastest message."""
@@ -55,6 +59,7 @@
         self._name = name
         self._boot = uuid.uuid4().hex
         self._url = address.inbox_url
+        self._local = f"tcp://{address.host}:"
         self._clock = clock
         self._correlation = itertools.count(1)
         self._outboxes: dict[str, _Outbox] = {}
@@ -63,6 +68,7 @@
         self._inbox = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES, recv_buffer_size=OUTBOX_MESSAGES)
         self._receiver: gevent.Greenlet | None = None
         self._dropped = 0
+        self._traffic = {purpose: Traffic(purpose) for purpose in Purpose}
 
     @property
     def boot(self) -> str:
@@ -118,10 +124,12 @@
             body=codec.pack(body),
             addressed_boot=addressed_boot,
         )
+        data = codec.encode(envelope)
         try:
-            self._outbox(url).socket.send(codec.encode(envelope), block=False)
+            self._outbox(url).socket.send(data, block=False)
         except pynng.TryAgain:
             return False
+        self._traffic[self._purpose(body.kind, url)].sent.inc(len(data))
         return True
 
     def reply(self, delivery: Delivery, body: Body, timeout_s: float = 1.0) -> bool:
@@ -175,12 +183,18 @@
             self._dropped += 1
             return
         envelope, body = decoded.unwrap()
+        self._traffic[self._purpose(envelope.kind, envelope.reply_to)].received.inc(len(data))
         handler = self._handlers.get(envelope.kind)
         if handler is None or envelope.addressed_boot not in ("", self._boot):
             self._dropped += 1
             return
         handler(Delivery(envelope, body, self._delay(envelope)))
 
+    def _purpose(self, kind: str, peer: str) -> Purpose:
+        if kind in _STATEMENT_KINDS:
+            return Purpose.STATEMENTS
+        return Purpose.LOCAL if peer.startswith(self._local) else Purpose.CONTROL
+
     def _delay(self, envelope: Envelope) -> float:
         transit = self._clock.monotonic() - envelope.sent_at
         fastest = min(transit, self._fastest.get(envelope.sender_boot, transit))
