Check values of settings at the start and in check-settings

Settings of the right types could still name a host that is no IP number, share an address between two servers or hold a session key of one byte. Checks register themselves, and all findings are printed together. The platform driver now gets the VM's name for the platform's logs.

--- a/siskindale/runtime/commands.py
+++ b/siskindale/runtime/commands.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from siskindale import __version__
+from siskindale.config import settings_checks
 from siskindale.config.loader import load_settings
 from siskindale.context import Environment
 from siskindale.exits import ExitStatus
@@ -84,7 +85,12 @@
 
 def _with_settings(path: Path, env: Environment, serve: Serve) -> ExitStatus:
     loaded = load_settings(path)
-    if isinstance(loaded, Success):
-        return serve(loaded.unwrap(), env)
-    print_errors(env, loaded.failure())
-    return ExitStatus.INVALID_INPUT
+    if not isinstance(loaded, Success):
+        print_errors(env, loaded.failure())
+        return ExitStatus.INVALID_INPUT
+    settings = loaded.unwrap()
+    findings = settings_checks.check(settings)
+    if findings:
+        print_errors(env, (f"{path}: {finding}" for finding in findings))
+        return ExitStatus.INVALID_INPUT
+    return serve(settings, env)
--- a/siskindale/runtime/program.py
+++ b/siskindale/runtime/program.py
@@ -1,7 +1,6 @@
 """Skeleton of the three programs: platform, directory, mailbox, bundle, health and drain."""
 
 import enum
-import importlib
 from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
@@ -10,6 +9,7 @@
 import pynng
 from gevent.pywsgi import WSGIServer
 
+import siskindale.platform.http  # noqa: F401 - registers the driver
 from siskindale.context import Environment
 from siskindale.exits import ExitStatus
 from siskindale.membership.directory import Directory
@@ -139,8 +139,9 @@
     # Loaded here because the follower's module needs types of this package.
     from siskindale.bundles.following import BundleFollower
 
-    importlib.import_module(f"siskindale.platform.{settings.platform.driver}")
-    platform = PLATFORM_DRIVERS.get(settings.platform.driver)(settings.platform)
+    # The platform's logs name the VM that a request comes from.
+    platform_settings = attrs.evolve(settings.platform, client=settings.vm)
+    platform = PLATFORM_DRIVERS.get(settings.platform.driver)(platform_settings)
     directory = Directory(settings, platform)
     inbox = getattr(settings, kind).inbox
     mailbox = Mailbox(f"{settings.vm}/{kind}", inbox, env.clock)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
 import pytest
 
 from siskindale import __version__
@@ -12,18 +13,9 @@
 from siskindale.exits import ExitStatus
 from siskindale.models.settings import Settings
 from siskindale.runtime.commands import invoke, program_app
+from tests.fakes.settings import vm_settings
 
-ADDRESS = {"host": "127.0.0.1", "port": 1}
-SETTINGS: dict[str, Any] = {
-    "vm": "vm1",
-    "failure_domain": "devin",
-    "platform": {"tables": ADDRESS, "objects": ADDRESS, "live_list": ADDRESS},
-    "session_keys": [{"id": "a", "secret": "00" * 32}],
-    "trust": {"signers": []},
-    "entry": {"listen": ADDRESS, "inbox": ADDRESS, "health": ADDRESS},
-    "pool": {"inbox": ADDRESS, "health": ADDRESS},
-    "controller": {"inbox": ADDRESS, "health": ADDRESS},
-}
+SETTINGS: dict[str, Any] = attrs.asdict(vm_settings())
 
 
 def call(*args: str) -> tuple[ExitStatus, str, str]:
@@ -47,20 +39,41 @@
 def test_good_settings_are_served_and_checked(tmp_path: Path) -> None:
     """Guards against a check that accepts other settings than the program."""
     good = write(tmp_path / "settings.json")
-    assert call("--settings", good) == (ExitStatus.SUCCESS, "served vm1\n", "")
+    assert call("--settings", good) == (ExitStatus.SUCCESS, "served vm0\n", "")
     assert call("check-settings", good) == (ExitStatus.SUCCESS, "", "")
 
 
 @pytest.mark.parametrize("command", ["--settings", "check-settings"])
 def test_bad_settings_print_every_finding(tmp_path: Path, command: str) -> None:
     """Guards against operators that correct one fault at a time, and against tracebacks."""
-    bad = write(tmp_path / "settings.json", vm=None, pool={"inbox": ADDRESS}, color="red")
+    bad = write(
+        tmp_path / "settings.json", vm=None, pool={"inbox": SETTINGS["pool"]["inbox"]}, color="red"
+    )
     status, _, errors = call(command, bad)
     assert status == ExitStatus.INVALID_INPUT
     assert len(errors.splitlines()) >= 2
     assert all(line.startswith("siskindale-entry: error: ") for line in errors.splitlines())
 
 
+def test_values_are_checked(tmp_path: Path) -> None:
+    """Guards against settings of the right types that no program can work with."""
+    entry = SETTINGS["entry"] | {"max_deadline_ms": 1, "max_callers": 0}
+    entry["listen"] = {"host": "entry.example", "port": 0}
+    bad = write(
+        tmp_path / "settings.json",
+        entry=entry,
+        pool=SETTINGS["pool"] | {"inbox": SETTINGS["entry"]["inbox"], "target_driver": "grpc"},
+        session_keys=[{"id": "a", "secret": "00"}, {"id": "a", "secret": "zz" * 32}],
+        trust=SETTINGS["trust"] | {"required_signatures": 3},
+        log_level="loud",
+        vm="vm/0",
+    )
+    status, _, errors = call("check-settings", bad)
+    assert status == ExitStatus.INVALID_INPUT
+    assert len(errors.splitlines()) == 12
+    assert "$.entry.inbox, $.pool.inbox" in errors
+
+
 @pytest.mark.parametrize("args", [[], ["--sttings", "x"], ["check-settings"], ["--settings", "/x"]])
 def test_wrong_command_line_is_one_line(args: list[str]) -> None:
     """Guards against a traceback for a mistyped command line."""
