--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -183,10 +183,14 @@
         self.headers = {"Authorization": f"Bearer {token}"} if token else {}
         self.connection = http.client.HTTPConnection(address.host, address.port)
 
-    def request(self, method: str, path: str, body: Any = None, **headers: str) -> Response:
-        """Sends a request; `_` in names of headers stands for `-`."""
+    def connect(self) -> None:
+        """Opens the connection unless it is open."""
         if self.connection.sock is None:
             self.connection.sock = socket.create_connection((self.address.host, self.address.port))
+
+    def request(self, method: str, path: str, body: Any = None, **headers: str) -> Response:
+        """Sends a request; `_` in names of headers stands for `-`."""
+        self.connect()
         content = body if isinstance(body, bytes | None) else json.dumps(body).encode()
         named = {name.replace("_", "-"): value for name, value in headers.items()}
         self.connection.request(method, path, content, {**self.headers, **named})
@@ -207,7 +211,7 @@
 
     def __init__(self, vms: int = 3, **entry_changes: Any) -> None:
         self.env = Environment(stderr=io.StringIO(), program="siskindale-entry")
-        self.settings = [_on_free_ports(vm_settings(index), entry_changes) for index in range(vms)]
+        self.settings = [on_free_ports(vm_settings(index), **entry_changes) for index in range(vms)]
         platform = FakePlatform()
         for settings in self.settings:
             row = to_row(member_of(settings))
@@ -271,7 +275,8 @@
             pool.mailbox.close()
 
 
-def _on_free_ports(settings: Settings, entry_changes: dict[str, Any]) -> Settings:
+def on_free_ports(settings: Settings, **entry_changes: Any) -> Settings:
+    """Moves the addresses of entry and pool to free ports."""
     listen, inbox, health, pool = free_ports(4)
     entry = attrs.evolve(settings.entry, listen=listen, inbox=inbox, health=health, **entry_changes)
     return attrs.evolve(settings, entry=entry, pool=attrs.evolve(settings.pool, inbox=pool))
