--- a/siskindale/entry/server.py
+++ b/siskindale/entry/server.py
@@ -11,7 +11,7 @@
 from siskindale.context import Clock
 from siskindale.entry import metrics, problems
 from siskindale.entry.problems import Problem, refuse
-from siskindale.models.outcomes import RefusalKind
+from siskindale.models.outcomes import Refusal, RefusalKind
 from siskindale.models.settings import EntrySettings
 from siskindale.runtime.logs import logger
 
@@ -233,5 +233,8 @@
 
 _TOO_MANY_CONNECTIONS = _raw_response(
     "503 Service Unavailable",
-    refuse(RefusalKind.OVERLOADED, "this entry has no room for more connections", 1000),
+    Problem(
+        Refusal(RefusalKind.OVERLOADED, "this entry has no room for more connections", 1000),
+        status=503,
+    ),
 )
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -172,6 +172,7 @@
     def problem(self) -> str:
         """Last part of the problem's type."""
         assert self.headers["content-type"] == "application/problem+json"
+        assert self.json["status"] == self.status
         return self.json["type"].removeprefix("urn:siskindale:problem:")
 
 
