Parse request headers without the mail parser and send small answers at once

The mail parser of the standard library took the largest part of a request, and head and body of an answer left by two system calls.

--- a/siskindale/entry/gateway.py
+++ b/siskindale/entry/gateway.py
@@ -59,6 +59,8 @@
         self._dispatcher = dispatcher
         self._ids = headers.RequestIds(parts.mailbox.boot)
         self._access = Access()
+        # A logger that is made for each line costs a quarter more.
+        self._log = logger()
         parts.bundles.subscribe(self._access.adopt)
 
     def open(
@@ -78,7 +80,7 @@
         name = exchange.statement_class
         metrics.REQUESTS.labels(name, outcome, refusal).inc()
         metrics.DURATION.labels(name).observe(duration_s)
-        logger().info(
+        self._log.info(
             "request",
             request_id=exchange.request_id,
             caller=exchange.caller,
--- a/siskindale/entry/server.py
+++ b/siskindale/entry/server.py
@@ -2,7 +2,7 @@
 
 import enum
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import gevent
@@ -10,6 +10,7 @@
 
 from siskindale.context import Clock
 from siskindale.entry import metrics, problems
+from siskindale.entry.header_block import HeaderBlock
 from siskindale.entry.problems import Problem, refuse
 from siskindale.models.outcomes import Refusal, RefusalKind
 from siskindale.models.settings import EntrySettings
@@ -24,6 +25,7 @@
 DRAIN_POLL_S = 0.02
 REFUSAL_LIMIT_S = 1.0
 READ_BYTES = 64 << 10
+JOINED_BYTES = 64 << 10
 BACKLOG = 1024
 
 Application = Callable[..., Any]
@@ -70,13 +72,9 @@
         except (OSError, AttributeError):
             return
 
-    def MessageClass(self, *args: Any) -> Any:  # noqa: N802 - named by the base class
-        """Parses the header; one that a closed connection cut short is no request."""
-        lines = _Lines(args[0])
-        message = super().MessageClass(lines, *args[1:])
-        if lines.last not in (b"\r\n", b"\n"):
-            raise ValueError("the header is incomplete")
-        return message
+    def MessageClass(self, *args: Any) -> HeaderBlock:  # noqa: N802 - named by the base class
+        """Parses the header."""
+        return HeaderBlock(args[0])
 
     def read_requestline(self) -> str:
         """Waits for the first byte of a request, then reads its first line."""
@@ -89,7 +87,7 @@
         """Rejects a body whose length two programs could understand differently."""
         valid = super().read_request(raw_requestline)
         coding = self.headers.get("transfer-encoding")
-        lengths = set(self.headers.get_all("content-length") or ())
+        lengths = set(self.headers.get_all("content-length"))
         if len(lengths) > 1 or (coding is not None and coding.lower() != "chunked"):
             raise ValueError("ambiguous length of the body")
         return valid
@@ -101,6 +99,21 @@
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
 
+    def _headers(self) -> Iterator[tuple[str, str]]:
+        return self.headers.environ()
+
+    def _write_with_headers(self, data: bytes) -> None:
+        """Sends head and a small body by one system call, unlike the base class."""
+        self.headers_sent = True
+        self.finalize_headers()
+        fields = b"".join(b"%b: %b\r\n" % field for field in self.response_headers)
+        head = b"HTTP/1.1 %b\r\n%b\r\n" % (self.status, fields)
+        if len(data) > JOINED_BYTES or self.response_use_chunked:
+            self._sendall(head)
+            self._write(data)
+        else:
+            self._sendall(head + data)
+
     def log_request(self) -> None:
         """Writes nothing: the gateway logs each request."""
 
@@ -201,18 +214,6 @@
         """Has nothing to flush."""
 
 
-class _Lines:
-    """Reader of lines that keeps the last one."""
-
-    def __init__(self, reader: Any) -> None:
-        self._reader = reader
-        self.last = b""
-
-    def readline(self, limit: int) -> bytes:
-        self.last = self._reader.readline(limit)
-        return self.last
-
-
 def _refuse_connection(sock: Any) -> None:
     """Tells the caller why, and waits a moment: a reset would discard what was said."""
     sock.settimeout(REFUSAL_LIMIT_S)
