--- a/tests/fakes/controllers.py
+++ b/tests/fakes/controllers.py
@@ -39,6 +39,7 @@
     rank: int
     tables: Tables
     random: Random
+    started_terms: list[int]
     pending: list[tuple[float, Effect]] = attrs.field(factory=list)
     records: list[Record] = attrs.field(factory=list)
     up: bool = True
@@ -50,7 +51,10 @@
 
     def take(self, effects: list[Effect], now: float) -> None:
         """Queues effects, records apart."""
-        self.records.extend(e for e in effects if isinstance(e, Record))
+        records = [e for e in effects if isinstance(e, Record)]
+        self.records.extend(records)
+        started = (r for r in records if r.event == "promotion-started")
+        self.started_terms.extend(r.fields["term"] for r in started)
         self.pending.extend((now, e) for e in effects if not isinstance(e, Record))
 
 
@@ -62,6 +66,7 @@
         self.store = FakeTables()
         self.bundle = Group(NAME, tuple(target(n) for n in targets))
         self.seed = seed
+        self.started_terms: list[int] = []
         names = [f"x{i}" for i in range(controllers)]
         self.controllers = {n: self._new(n, i, names) for i, n in enumerate(names)}
 
@@ -124,7 +129,7 @@
         row.targets = {t.name: TargetRow(NAME, t) for t in self.bundle.targets}
         tables.groups[NAME] = row
         tables.terms[NAME] = TermsRow(NAME)
-        return FakeController(vm, rank, tables, Random(self.seed))
+        return FakeController(vm, rank, tables, Random(self.seed), self.started_terms)
 
     def _call(
         self, own: FakeController, call: TargetCall, at: float, sent: bool, answered: bool
--- /dev/null
+++ b/tests/test_promotion_machine.py
@@ -0,0 +1,157 @@
+"""Promotions in any interleaving keep every acknowledged write.
+
+SISKINDALE_EXAMPLES, SISKINDALE_STEPS and SISKINDALE_SEED lengthen and vary the run.
+"""
+
+import os
+
+import pytest
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from siskindale.models.bundle import TargetState
+from tests.fakes.promotions import WRITER, Scenario
+from tests.test_promotion_faults import FAULTS
+
+EXAMPLES = int(os.environ.get("SISKINDALE_EXAMPLES", "80"))
+STEPS = int(os.environ.get("SISKINDALE_STEPS", "80"))
+SEED = int(os.environ.get("SISKINDALE_SEED", "1"))
+
+VMS = st.sampled_from(("x0", "x1", "x2"))
+TARGETS = st.sampled_from("abcdy")
+SOME = st.sets(TARGETS, min_size=2)
+FLIPPED = st.sampled_from(("", "", *"abcdy"))
+PARTIES = st.sampled_from(("x0", "x1", "x2", WRITER, *"abcdy"))
+FATES = st.sampled_from(("delivered", "delivered", "delivered", "lost", "unanswered", "late"))
+
+
+class PromotionMachine(RuleBasedStateMachine):
+    """Controllers, targets, store and writer move one at a time."""
+
+    @initialize(voters=st.sampled_from(("abc", "abcd")))
+    def create(self, voters: str) -> None:
+        others = "".join(n for n in "abcdy" if n not in voters)
+        self.scenario = Scenario.create(voters, others)
+        self.world = self.scenario.world
+
+    @rule(vm=VMS)
+    def tick(self, vm: str) -> None:
+        self.world.tick(vm)
+
+    @rule(vm=VMS, index=st.integers(0, 9), fate=FATES)
+    def deliver(self, vm: str, index: int, fate: str) -> None:
+        self.scenario.deliver(vm, index, fate)
+
+    @rule(vm=VMS, count=st.integers(1, 12))
+    def work(self, vm: str, count: int) -> None:
+        for _ in range(count):
+            self.scenario.deliver(vm, 0, "delivered")
+
+    @rule(vm=VMS, flipped=FLIPPED)
+    def promote(self, vm: str, flipped: str) -> None:
+        self.scenario.start(vm, flipped)
+
+    @rule(vm=VMS, names=SOME, flipped=FLIPPED, rounds=st.integers(1, 3))
+    def promote_on_some(self, vm: str, names: set[str], flipped: str, rounds: int) -> None:
+        self.scenario.refresh(vm)
+        self.scenario.start(vm, flipped)
+        for _ in range(rounds):
+            self.scenario.call(vm, names)
+            self.replicate(names)
+
+    @rule(names=SOME, count=st.integers(0, 2))
+    def write_on_newest(self, names: set[str], count: int) -> None:
+        for primary in self.world.group.primaries()[-1:] * count:
+            self.scenario.writer.write(primary.name)
+        self.replicate(names)
+
+    @rule(name=TARGETS)
+    def write(self, name: str) -> None:
+        self.scenario.writer.write(name)
+
+    @rule(names=SOME)
+    def replicate(self, names: set[str]) -> None:
+        for name in sorted(names):
+            self.world.group.ship(name)
+            self.scenario.writer.collect(name)
+
+    @rule(name=TARGETS)
+    def ship_one_entry(self, name: str) -> None:
+        self.world.group.ship(name, 1)
+        self.scenario.writer.collect(name)
+
+    @rule(index=st.integers(0, 9))
+    def arrive(self, index: int) -> None:
+        self.scenario.arrive(index)
+
+    @rule(seconds=st.sampled_from((0.05, 0.3, 0.7, 5.0)))
+    def wait(self, seconds: float) -> None:
+        self.world.group.now += seconds
+
+    @rule(vm=VMS)
+    def restart_controller(self, vm: str) -> None:
+        self.world.restart(vm)
+
+    @rule(name=TARGETS, one=PARTIES, other=PARTIES, kind=st.sampled_from(("crash", "pause", "cut")))
+    def fail(self, name: str, one: str, other: str, kind: str) -> None:
+        if kind == "crash":
+            self.world.group.crash(name)
+        elif kind == "pause":
+            self.world.group.targets[name].paused = True
+        else:
+            self.world.group.cut(one, other)
+
+    @rule()
+    def repair(self) -> None:
+        self.world.group.heal()
+        for name, target in self.world.group.targets.items():
+            target.paused = False
+            if not target.up:
+                self.world.group.restart(name)
+
+    @rule(up=st.booleans())
+    def store(self, up: bool) -> None:
+        self.world.store.up = up
+
+    @rule(name=TARGETS, state=st.sampled_from(TargetState))
+    def change_bundle(self, name: str, state: TargetState) -> None:
+        self.scenario.change(name, state)
+
+    @invariant()
+    def promises_hold(self) -> None:
+        if hasattr(self, "scenario"):
+            self.scenario.oracle.check()
+
+
+def explore(machine: type[PromotionMachine], examples: int, steps: int, shrink: bool) -> None:
+    phases = (Phase.generate, Phase.shrink) if shrink else (Phase.generate,)
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        phases=phases,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(seed(SEED)(machine), settings=chosen)
+
+
+@pytest.mark.timeout(0 if "SISKINDALE_EXAMPLES" in os.environ else 120)
+def test_promises_hold_in_any_interleaving() -> None:
+    """Guards against lost acknowledged writes, two primaries in a term, and reused terms."""
+    explore(PromotionMachine, EXAMPLES, STEPS, shrink=True)
+
+
+@pytest.mark.parametrize("fault", ["acknowledge-without-majority", "skip-fencing"])
+def test_machine_finds(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a machine whose steps never reach a state in which a broken rule matters."""
+    monkeypatch.setattr(*FAULTS[fault])
+    with pytest.raises(AssertionError):
+        explore(PromotionMachine, 500, STEPS, shrink=False)
