--- a/tests/fakes/__init__.py
+++ b/tests/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""In-memory fakes for tests."""
+"""Fakes of outside systems for tests without I/O."""
--- a/tests/fakes/controllers.py
+++ b/tests/fakes/controllers.py
@@ -24,7 +24,7 @@
 from siskindale.platform.interface import PlatformError, PlatformFailure
 from siskindale.targets.interface import TargetError, TargetFailure
 from tests.fakes.group import FakeGroup, target
-from tests.fakes.platform import FakeTables
+from tests.fakes.tables import FakeTables
 
 NAME = "g"
 STEP_S = 0.01
