--- a/siskindale/controller/systems/probing.py
+++ b/siskindale/controller/systems/probing.py
@@ -34,11 +34,11 @@
     views.update_committed(row)
 
 
-def note_term(tables: Tables, group: str, term: int, now: float) -> None:
-    """Takes over a term that another controller has seen."""
+def hasten(tables: Tables, group: str) -> None:
+    """Probes the targets of a group at once."""
     row = tables.groups.get(group)
-    if row is not None:
-        _note_term(tables, row, term, now)
+    for target in row.targets.values() if row else ():
+        target.probe_at = 0.0
 
 
 def _probe(tables: Tables, row: TargetRow, now: float) -> TargetCall:
--- a/siskindale/pool/assignment.py
+++ b/siskindale/membership/assignment.py
@@ -1,4 +1,4 @@
-"""Assignment: which pools serve a group, in rank order."""
+"""Assignment of groups to VMs in order of rank, for pools and controllers."""
 
 import gevent
 
@@ -6,14 +6,14 @@
 from siskindale.membership.rendezvous import rank
 from siskindale.models.bundle import Bundle
 
-# Pools beyond this rank would serve a group only after so many others were found dead.
+# VMs beyond this rank would serve a group only after so many others were found dead.
 KEPT_RANKS = 8
 # Ranking 920 groups of 770 VMs takes a second of CPU time; other work goes on in between.
 GROUPS_AT_ONCE = 4
 
 
 class Assignment:
-    """Ranks pools by group and keeps the ranks while the members stay the same."""
+    """Ranks VMs by group and keeps the ranks while the members stay the same."""
 
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
--- a/siskindale/pool/program.py
+++ b/siskindale/pool/program.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event as GeventEvent
 
+from siskindale.membership.assignment import Assignment
 from siskindale.models.bundle import Bundle
 from siskindale.models.wire import (
     BeginRequest,
@@ -16,7 +17,6 @@
     TransactionStatement,
 )
 from siskindale.pool import engine, metrics
-from siskindale.pool.assignment import Assignment
 from siskindale.pool.effects import (
     BundleAdopted,
     DirectoryChanged,
