--- a/siskindale/controller/program.py
+++ b/siskindale/controller/program.py
@@ -51,6 +51,7 @@
         self._clock = parts.env.clock
         self._tables = Tables(parts.settings.vm)
         self._ranks: dict[str, tuple[str, ...]] = {}
+        self._assigned = False
         self._loop = TickLoop(self._tick, self._clock)
         self._targets = Targets(driver or load_driver(parts), self._clock, self._on_target)
         self._store = Store(parts.platform.tables, self._on_read, self._on_commit)
@@ -69,7 +70,7 @@
 
     def reasons(self) -> Sequence[str]:
         """Lists why the controller is not ready."""
-        return [] if self._ranks else ["no groups were assigned"]
+        return [] if self._assigned else ["no bundle was adopted"]
 
     def start(self) -> None:
         """Starts the loop."""
@@ -170,7 +171,7 @@
         ranks = self._assignment.rank(bundle)
         inboxes = {m.vm: m.controller.inbox_url for m in directory.members}
         assignment.run(self._tables, bundle, ranks, inboxes, self._clock.monotonic())
-        self._tables.leaving, self._ranks = directory.leaving, ranks
+        self._tables.leaving, self._ranks, self._assigned = directory.leaving, ranks, True
         self._loop.wake()
 
     def _keep_house(self) -> None:
--- a/siskindale/controller/systems/bootstrap.py
+++ b/siskindale/controller/systems/bootstrap.py
@@ -12,10 +12,8 @@
 
 
 def _group(tables: Tables, row: GroupRow, now: float) -> list[Effect]:
-    if not _is_new(tables, row, now) or not limits.may_promote(tables, row, now):
-        return []
     since = max(row.created_at, row.top_term_at)
-    if now < since + row.rank * tables.durations.rank_delay_ms / 1000:
+    if not _is_new(tables, row, now) or not limits.may_promote(tables, row, since, now):
         return []
     planned = PromotionRow(row.name, 0, "new group", now, voters=row.group.voters)
     return promotion.start(tables, row, planned, now)
--- a/siskindale/controller/systems/detection.py
+++ b/siskindale/controller/systems/detection.py
@@ -116,9 +116,9 @@
 
 
 def _promote(tables: Tables, row: GroupRow, reason: str, now: float) -> list[Effect]:
-    due = (row.lost_since or now) + row.rank * tables.durations.rank_delay_ms / 1000
+    since = now if row.lost_since is None else row.lost_since
     confirmed = confirmation(tables, row, now)
-    if now < due or not confirmed or not limits.may_promote(tables, row, now):
+    if not confirmed or not limits.may_promote(tables, row, since, now):
         return []
     planned = PromotionRow(
         group=row.name,
--- a/siskindale/controller/systems/limits.py
+++ b/siskindale/controller/systems/limits.py
@@ -6,15 +6,15 @@
 ATTEMPTS_WINDOW_S = 600.0
 
 
-def may_promote(tables: Tables, row: GroupRow, now: float) -> bool:
-    """Whether another promotion may start; failed and observed ones count."""
+def may_promote(tables: Tables, row: GroupRow, since: float, now: float) -> bool:
+    """Whether a promotion that is needed since a time may start; failed and observed ones count.
+
+    The delay by rank runs from the end of the minimum interval at the earliest: otherwise all
+    controllers would start together once it has passed.
+    """
     row.attempts = [at for at in row.attempts if now - at < ATTEMPTS_WINDOW_S]
-    if row.name in tables.promotions or tables.draining:
+    if row.name in tables.promotions or tables.draining or len(row.attempts) >= MAX_ATTEMPTS:
         return False
-    return len(row.attempts) < MAX_ATTEMPTS and now >= earliest(tables, row)
-
-
-def earliest(tables: Tables, row: GroupRow) -> float:
-    """Returns the time at which the minimum interval has passed."""
     last = max(row.attempts, default=float("-inf"))
-    return last + tables.durations.promotion_interval_ms / 1000
+    earliest = max(since, last + tables.durations.promotion_interval_ms / 1000)
+    return now >= earliest + row.rank * tables.durations.rank_delay_ms / 1000
--- a/siskindale/controller/systems/membership.py
+++ b/siskindale/controller/systems/membership.py
@@ -91,8 +91,7 @@
         return []
     if row.needed_since is None:
         row.needed_since = now
-    due = row.needed_since + row.rank * tables.durations.rank_delay_ms / 1000
-    if now < due or not limits.may_promote(tables, row, now):
+    if not limits.may_promote(tables, row, row.needed_since, now):
         return []
     return promotion.start(tables, row, planned, now)
 
@@ -132,7 +131,7 @@
     ready = [v for v in remaining if v == primary.name or _caught_up(row, v, primary)]
     if not views.has_majority(ready, remaining):
         return None
-    return _planned(row, primary, f"{name} leaves", remaining, now)
+    return _planned(row, primary, f"{name} leaves", remaining, now, frozenset({name}))
 
 
 def _planned(
@@ -143,5 +142,13 @@
     now: float,
     avoid: frozenset[str] = frozenset(),
 ) -> PromotionRow:
-    avoid |= views.without_vote(row)
-    return PromotionRow(row.name, 0, reason, now, voters=voters, base=primary.marker, avoid=avoid)
+    return PromotionRow(
+        row.name,
+        0,
+        reason,
+        now,
+        voters=voters,
+        base=primary.marker,
+        avoid=avoid | views.without_vote(row),
+        preferred="" if primary.name in avoid else primary.name,
+    )
--- a/siskindale/controller/systems/promotion.py
+++ b/siskindale/controller/systems/promotion.py
@@ -22,7 +22,8 @@
 
 # The whole attempt; a failed one counts for the minimum interval of 5 s anyway.
 ATTEMPT_S = 3.0
-# After this the avoided targets are fenced too; a few round trips of 3 ms and a slow target.
+# After this the avoided targets are fenced too, and the preferred one is not waited for; a few
+# round trips of 3 ms and a slow target.
 AVOID_S = 0.2
 CALL_TIMEOUT_S = 0.5
 WAIT_TIMEOUT_S = 0.5
@@ -103,7 +104,10 @@
 
 def choose_best(current: PromotionRow) -> TargetStatus:
     """Returns the fenced target with the highest log; among equals a wanted one."""
-    return max(current.fenced.values(), key=lambda s: (s.log, s.name not in current.avoid, s.name))
+    return max(
+        current.fenced.values(),
+        key=lambda s: (s.log, s.name not in current.avoid, s.name == current.preferred, s.name),
+    )
 
 
 def _take(current: PromotionRow, status: TargetStatus) -> None:
@@ -135,7 +139,8 @@
 
 
 def _try_choose(row: GroupRow, current: PromotionRow, now: float) -> None:
-    if not current.fenced:
+    waiting = bool(current.preferred) and current.preferred not in current.fenced
+    if not current.fenced or (waiting and now - current.started_at < AVOID_S):
         return
     best = choose_best(current)
     if may_promote_best(row, current.fenced, best):
--- a/siskindale/controller/tables.py
+++ b/siskindale/controller/tables.py
@@ -116,7 +116,8 @@
 
     `voters` are the wanted voters of a planned change that is based on the marker `base`; without
     them the voters stay. `avoid` are targets that are fenced and promoted only if the others do
-    not suffice. `uncertain` are targets whose last answer does not tell their state.
+    not suffice; a primary that is `preferred` is waited for. `uncertain` are targets whose last
+    answer does not tell their state.
     """
 
     group: str
@@ -126,6 +127,7 @@
     voters: tuple[str, ...] | None = None
     base: LogPosition = LogPosition()
     avoid: frozenset[str] = frozenset()
+    preferred: str = ""
     stage: Stage = Stage.FENCING
     busy: set[str] = attrs.field(factory=set)
     uncertain: set[str] = attrs.field(factory=set)
