--- a/bench/commands.py
+++ b/bench/commands.py
@@ -11,6 +11,7 @@
 import psutil
 import typer
 
+from bench import failover as failover_bench
 from bench import speed as speed_bench
 from bench.capacity import callers, model, node, page
 from bench.processes import ROOT
@@ -33,6 +34,28 @@
     print(msgspec.json.format(msgspec.json.encode(found)).decode())
 
 
+@app.command()
+def failover(
+    rounds: Annotated[int, typer.Option(help="Losses of each of the eight databases.")] = 4,
+    out: Annotated[Path | None, typer.Option(help="File for every loss and the figures.")] = None,
+    keep: Annotated[Path | None, typer.Option(help="Directory for the logs.")] = None,
+) -> None:
+    """Measure the failover time over lost primaries, with the store up and down.
+
+    Example: python -m bench failover --out failover.json
+    """
+    with tempfile.TemporaryDirectory(prefix="siskindale-failover-") as temporary:
+        directory = keep or Path(temporary)
+        directory.mkdir(parents=True, exist_ok=True)
+        losses = failover_bench.measure(directory, rounds, lambda loss: _progress("loss", loss))
+    figures = failover_bench.summarise(losses)
+    for figure in figures:
+        print(figure)
+    if out is not None:
+        document = {"losses": losses, "figures": figures}
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(document)) + b"\n")
+
+
 @app.command()
 def slopes(
     out: Annotated[Path, typer.Option(help="File for the measurements.")] = page.MEASUREMENTS,
--- a/standins/target/replication.py
+++ b/standins/target/replication.py
@@ -102,19 +102,35 @@
         self._storage = storage
         self._faults = faults
         self._clients: dict[Address, HttpClient] = {}
+        self._pulling: gevent.Greenlet | None = None
+        self._generation = 0
 
     def start(self) -> None:
         """Starts pulling and applying."""
         gevent.spawn(self._pull_forever)
+        gevent.spawn(self._abandon_forever)
         gevent.spawn(self._apply_forever)
 
     def _pull_forever(self) -> None:
         while True:
             if self._storage.state.role is not Role.REPLICA:
                 self._storage.changed.wait(1.0)
-            elif not self._pull():
+            elif not self._start_pull().get():
                 gevent.sleep(RETRY_S)
 
+    def _start_pull(self) -> gevent.Greenlet:
+        self._generation = self._storage.generation
+        self._pulling = gevent.spawn(self._pull)
+        return self._pulling
+
+    def _abandon_forever(self) -> None:
+        """Ends a pull from a primary that hangs as soon as there is another one to follow."""
+        while True:
+            self._storage.changed.wait(1.0)
+            if self._pulling is not None and self._storage.generation != self._generation:
+                self._pulling.kill(block=False)
+                self._pulling = None
+
     def _pull(self) -> bool:
         storage = self._storage
         state, generation = storage.state, storage.generation
