Report every finding of a file with its place and remedy

cattrs converted types silently (a string became a list of letters, "1" a number) and its messages named neither the type that is right nor the field that was meant. Values are now taken strictly, syntax errors name line and column, and duplicate keys are refused. Plain JSON is decoded by the standard library first: json5 decoded 27 KB in 1.0 s.

--- a/siskindale/config/loader.py
+++ b/siskindale/config/loader.py
@@ -1,18 +1,25 @@
 """Loading of settings and bundles: JSON with comments into attrs classes."""
 
+import json
+import re
+from collections.abc import Iterable
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
-import cattrs
 import json5
 from returns.result import Failure, Result, Success
 
 from siskindale.config.findings import Finding
+from siskindale.config.structuring import structure
 from siskindale.models.bundle import Bundle
 from siskindale.models.settings import Settings
 
 T = TypeVar("T")
 
+_SYNTAX_ERROR = re.compile(
+    r"<string>:(?P<line>\d+) (?P<problem>.*) at column (?P<column>\d+)", re.S
+)
+
 
 def load_settings(path: Path) -> Result[Settings, tuple[Finding, ...]]:
     """Loads the settings of a VM; fails with every finding."""
@@ -26,27 +33,56 @@
 
 def load(path: Path, cls: type[T]) -> Result[T, tuple[Finding, ...]]:
     """Loads one file into an attrs class; fails with every finding and its place."""
+    return read(path).bind(lambda raw: structure(raw, cls, str(path)))
+
+
+def read(path: Path) -> Result[Any, tuple[Finding, ...]]:
+    """Reads and decodes one file."""
     try:
-        raw = json5.loads(path.read_text())
+        text = path.read_text(encoding="utf-8")
     except OSError as error:
         return Failure((Finding(str(path), error.strerror or str(error)),))
-    except ValueError as error:
-        return Failure((Finding(str(path), str(error)),))
-    return structure(raw, cls, str(path))
+    except UnicodeDecodeError as error:
+        return Failure((Finding(str(path), f"not UTF-8 at byte {error.start}"),))
+    return parse(text, str(path))
+
 
+def parse(text: str, source: str) -> Result[Any, tuple[Finding, ...]]:
+    """Decodes JSON with comments; fails with line and column.
 
-def structure(raw: object, cls: type[T], source: str) -> Result[T, tuple[Finding, ...]]:
-    """Builds an attrs class from decoded JSON; fails with every finding and its path."""
+    Plain JSON is tried first: json5 decodes about 27 KB/s, which for a bundle of 920 groups would
+    take half a minute.
+    """
+    try:
+        return Success(json.loads(text, object_pairs_hook=_unique, parse_constant=_no_constant))
+    except (ValueError, RecursionError):
+        pass
     try:
-        return Success(_CONVERTER.structure(raw, cls))
-    except (cattrs.BaseValidationError, cattrs.StructureHandlerNotFoundError) as error:
-        lines = cattrs.transform_error(error, path="$")
-        return Failure(tuple(_finding(source, line) for line in lines))
+        return Success(json5.loads(text, allow_duplicate_keys=False))
+    except ValueError as error:
+        return Failure((_syntax_finding(str(error), source),))
+    except RecursionError:
+        return Failure((Finding(source, "nested too deeply"),))
+
+
+def _unique(pairs: Iterable[tuple[str, Any]]) -> dict[str, Any]:
+    found: dict[str, Any] = {}
+    for key, value in pairs:
+        if key in found:
+            raise ValueError(f"duplicate key {key!r}")
+        found[key] = value
+    return found
+
+
+def _no_constant(name: str) -> float:
+    raise ValueError(f"{name} is not JSON")
 
 
-def _finding(source: str, line: str) -> Finding:
-    problem, _, path = line.rpartition(" @ ")
-    return Finding(f"{source}: {path}" if path else source, problem or line)
+def _syntax_finding(message: str, source: str) -> Finding:
+    match = _SYNTAX_ERROR.fullmatch(message)
+    problem = match["problem"] if match else message
+    place = f"{source}:{match['line']}:{match['column']}" if match else source
+    return Finding(place, problem[:1].lower() + problem[1:].replace("\n", "\\n"))
 
 
-_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+__all__ = ["load", "load_bundle", "load_settings", "parse", "read", "structure"]
--- /dev/null
+++ b/tests/config/__init__.py
@@ -0,0 +1,1 @@
+"""Loading and checking of settings and bundles."""
