--- a/tests/config/test_checks.py
+++ b/tests/config/test_checks.py
@@ -176,5 +176,5 @@
     bad = tmp_path / "settings.json"
     bad.write_text('{"vm": }')
     assert check_settings_file(bad, environment) is ExitStatus.INVALID_INPUT
-    expected = f'siskindale-pool: error: {bad}:1:8: unexpected "}"\n'
+    expected = f'siskindale-pool: error: {bad}:1:8: unexpected "}}"\n'
     assert environment.stderr.getvalue() == expected  # type: ignore[attr-defined]
