Let the expected wait fall quickly after a hang

Cause: a primary that hung for a caller's deadline left an expected wait of seconds behind, which refused requests after it had recovered. Change: falling service times count three times as much as rising ones; tests of the health pages and of settings faults.

--- a/siskindale/pool/systems/connections.py
+++ b/siskindale/pool/systems/connections.py
@@ -30,6 +30,8 @@
 # after 2 s, and the target must get no new work after 3 s.
 LEAVING_PRIMARY_S = 0.8
 SERVICE_WEIGHT = 0.1
+# After a hang the expected wait has to fall quickly, or requests are refused without need.
+RECOVERY_WEIGHT = 0.3
 
 
 def share(limit: int, pools: int, rank: int) -> int:
@@ -73,8 +75,8 @@
     target.running -= 1
     connection.busy = False
     if request is not None:
-        spent = now - request.since
-        target.service_s += SERVICE_WEIGHT * (spent - target.service_s)
+        change = now - request.since - target.service_s
+        target.service_s += change * (RECOVERY_WEIGHT if change < 0 else SERVICE_WEIGHT)
 
 
 def release(tables: Tables, connection: ConnectionRow) -> list[Effect]:
--- a/tests/pool/test_end_to_end.py
+++ b/tests/pool/test_end_to_end.py
@@ -1,9 +1,15 @@
 """The pool process over stand-in targets, through its real mailbox."""
 
+import io
+from pathlib import Path
+
 import uuid6
 
+from siskindale.context import Environment
+from siskindale.exits import ExitStatus
 from siskindale.models.outcomes import Outcome, RefusalKind
 from siskindale.models.wire import BeginRequest, FinishRequest, TransactionStatement
+from siskindale.pool import core
 from tests.pool.conftest import PoolStandin
 
 CREATE = "CREATE TABLE caves (id INTEGER PRIMARY KEY, name TEXT)"
@@ -26,6 +32,25 @@
     assert read.position >= written.position
 
 
+def test_health_pages(pool: PoolStandin) -> None:
+    """Guards against a pool that serves unseen: no readiness, no metrics by group and class."""
+    create(pool)
+    assert pool.health("/readyz")[0] == 200
+    page = pool.health("/metrics")[1].decode()
+    line = 'siskindale_pool_requests_total{class="revisions",group="survey",outcome="done"} 1.0'
+    assert line in page
+
+
+def test_settings_faults_are_errors(tmp_path: Path) -> None:
+    """Guards against tracebacks for faults of operators."""
+    file = tmp_path / "settings.json"
+    file.write_text('{"vm": 1, "colour": "red"}')
+    env = Environment(stderr=io.StringIO(), program="siskindale-pool")
+    assert core.main(["--settings", str(file)], env) == ExitStatus.INVALID_INPUT
+    lines = env.stderr.getvalue().splitlines()  # type: ignore[attr-defined]
+    assert len(lines) > 2 and all(x.startswith("siskindale-pool: error: ") for x in lines)
+
+
 def test_keyed_write_runs_once(pool: PoolStandin) -> None:
     """Guards against a repeated filing when the caller repeats the request."""
     create(pool)
