Fetch a delta instead of the whole body where the body before is at hand

Change: the head row and HeadNotice name a delta; the follower applies it to the adopted body, checks the digest of the result and falls back to the whole body. Tests: no body read with a delta; a delta from another base; a program that missed a version.

--- a/bench/operators.py
+++ b/bench/operators.py
@@ -6,6 +6,7 @@
 import attrs
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
+from siskindale.bundles import delta
 from siskindale.bundles.signing import canonical, digest_of, sign
 from siskindale.models.bundle import Bundle, SignedBundle
 from siskindale.models.settings import PlatformSettings, Signer, Trust
@@ -26,7 +27,7 @@
     def __init__(self, directory: Path, platform: PlatformSettings) -> None:
         self._key = Ed25519PrivateKey.generate()
         self._platform = http_platform(platform)
-        self._previous = ""
+        self._previous, self._content = "", b""
         public = self._key.public_key().public_bytes_raw().hex()
         self.trust = Trust((Signer(SIGNER, public),))
 
@@ -36,10 +37,15 @@
         content = canonical(SignedBundle(bundle, (sign(bundle, SIGNER, self._key),)))
         digest = digest_of(content)
         self._platform.objects.put(digest, content).unwrap()
+        change = delta.encode(self._content, content) if self._content else b""
+        head = {"version": bundle.version, "digest": digest, "delta": ""}
+        if change:
+            head["delta"] = digest_of(change)
+            self._platform.objects.put(digest_of(change), change).unwrap()
         row = self._platform.tables.read("bundle_head", "head").unwrap()
         self._platform.tables.commit(
             [Condition("bundle_head", "head", row.version if row else 0)],
-            [Write("bundle_head", "head", {"version": bundle.version, "digest": digest})],
+            [Write("bundle_head", "head", head)],
         ).unwrap()
-        self._previous = digest
+        self._previous, self._content = digest, content
         return bundle
--- a/siskindale/bundles/following.py
+++ b/siskindale/bundles/following.py
@@ -7,19 +7,20 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
+from typing import Any
 
 import gevent
 from gevent.event import Event
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
-from siskindale.bundles import heads, metrics, signing
+from siskindale.bundles import delta, heads, metrics, signing
 from siskindale.bundles.heads import Head, HeadState
 from siskindale.context import Clock
 from siskindale.membership.directory import Directory
 from siskindale.models.bundle import Bundle, Durations
 from siskindale.models.settings import Settings
 from siskindale.models.wire import HeadNotice, HeadRequest
-from siskindale.platform.interface import Platform
+from siskindale.platform.interface import Platform, PlatformError
 from siskindale.runtime.logs import logger
 from siskindale.transport.mailbox import Delivery, Mailbox
 
@@ -40,6 +41,11 @@
 Listener = Callable[[Bundle], None]
 
 
+def head_of(value: dict[str, Any]) -> Head:
+    """Returns the head that a row of the table service holds."""
+    return Head(value["version"], value["digest"], value.get("delta", ""))
+
+
 class BundleFollower:
     """Keeps the program's bundle current; it only moves forward in version.
 
@@ -67,6 +73,7 @@
         self._random = random or Random()
         self._state = HeadState(started_at=clock.monotonic())
         self._bundle: Bundle | None = None
+        self._body = b""
         self._listeners: list[Listener] = []
         self._requests: dict[int, float] = {}
         self._changed = Event()
@@ -131,7 +138,7 @@
             return False
         row = found.unwrap()
         if row is not None:
-            self._observe(Head(row.value["version"], row.value["digest"]), sent_at, "store")
+            self._observe(head_of(row.value), sent_at, "store")
         return True
 
     def fetch(self) -> bool:
@@ -140,7 +147,7 @@
         head = self._state.wanted
         if head is None or due is None or due > self._clock.monotonic():
             return False
-        found = self._platform.objects.get(head.digest)
+        found = self._read_body(head)
         if isinstance(found, Failure):
             metrics.STORE_FAILURES.labels("objects").inc()
             logger().warning("bundle-body-unreadable", reason=found.failure().detail)
@@ -192,12 +199,33 @@
         if bundle.version != head.version:
             self._reject(head, f"the body has version {bundle.version}", permanent=True)
             return False
-        return self._adopt(head, bundle)
+        return self._adopt(head, bundle, content)
+
+    def _read_body(self, head: Head) -> Result[bytes | None, PlatformError]:
+        """Applies the delta where the body before is at hand, else reads the whole body."""
+        adopted = self._state.adopted
+        if head.delta and adopted is not None and head.version == adopted.version + 1:
+            content = self._apply_delta(head)
+            if content is not None:
+                return Success(content)
+        metrics.BODIES.labels("whole").inc()
+        return self._platform.objects.get(head.digest)
+
+    def _apply_delta(self, head: Head) -> bytes | None:
+        found = self._platform.objects.get(head.delta).value_or(None)
+        if found is None or signing.digest_of(found) != head.delta:
+            return None
+        content = delta.apply(self._body, found).value_or(b"")
+        if signing.digest_of(content) != head.digest:
+            logger().warning("bundle-delta-unusable", version=head.version, delta=head.delta)
+            return None
+        metrics.BODIES.labels("delta").inc()
+        return content
 
-    def _adopt(self, head: Head, bundle: Bundle) -> bool:
+    def _adopt(self, head: Head, bundle: Bundle, content: bytes) -> bool:
         if not heads.adopt(self._state, head, self._clock.monotonic()):
             return False
-        self._bundle = bundle
+        self._bundle, self._body = bundle, content
         metrics.VERSION.set(bundle.version)
         logger().info("bundle-adopted", version=head.version, digest=head.digest)
         self._notify(self._sample(self._peers(), NOTICE_PEERS))
@@ -233,7 +261,8 @@
         notice: HeadNotice = delivery.body
         asked_at = self._requests.pop(delivery.envelope.correlation_id, None)
         confirmed_at = None if asked_at is None else asked_at - notice.age_ms / 1000
-        self._observe(Head(notice.version, notice.digest), confirmed_at, delivery.envelope.reply_to)
+        head = Head(notice.version, notice.digest, notice.delta)
+        self._observe(head, confirmed_at, delivery.envelope.reply_to)
 
     def _on_request(self, delivery: Delivery) -> None:
         envelope = delivery.envelope
@@ -247,7 +276,7 @@
         head = self._state.adopted
         if head is None:
             return None
-        return HeadNotice(head.version, head.digest, self.confirmation_age_s * 1000)
+        return HeadNotice(head.version, head.digest, self.confirmation_age_s * 1000, head.delta)
 
     def _notify(self, urls: Iterable[str]) -> None:
         notice = self._notice()
--- a/siskindale/bundles/heads.py
+++ b/siskindale/bundles/heads.py
@@ -14,10 +14,14 @@
 
 @attrs.frozen
 class Head:
-    """Version of a bundle with the SHA-256 of its body in the object store."""
+    """Version of a bundle with the SHA-256 of its body in the object store.
+
+    `delta` is the SHA-256 of the delta from the body of the version before, empty without one.
+    """
 
     version: int
     digest: str
+    delta: str = attrs.field(default="", eq=False)
 
 
 @attrs.define
--- a/siskindale/models/wire.py
+++ b/siskindale/models/wire.py
@@ -147,11 +147,15 @@
 @message("head-notice")
 @attrs.frozen
 class HeadNotice:
-    """Newest bundle that the sender knows; `age_ms` is the time since the store confirmed it."""
+    """Newest bundle that the sender knows; `age_ms` is the time since the store confirmed it.
+
+    `delta` is the SHA-256 of the delta from the body of the version before, empty without one.
+    """
 
     version: int
     digest: str
     age_ms: float
+    delta: str = ""
 
 
 @message("head-request")
--- a/tests/bundles/test_delta.py
+++ b/tests/bundles/test_delta.py
@@ -5,6 +5,7 @@
 from returns.result import Failure
 
 from siskindale.bundles import delta, signing
+from tests.bundles.test_following import Deployment
 from tests.fakes.settings import bundle, signed
 
 
@@ -25,3 +26,38 @@
     good = delta.encode(b"first body", b"second body")
     assert isinstance(delta.apply(b"first body", b"not zstandard"), Failure)
     assert isinstance(delta.apply(b"first body", good[:-3]), Failure)
+
+
+def rolled_with_delta(deployment: Deployment, base: bytes | None = None) -> None:
+    """Rolls version 1 and, with a delta, version 2."""
+    deployment.roll(1)
+    deployment.step(0)
+    first, second = (signing.canonical(signed(bundle(version))) for version in (1, 2))
+    change = delta.encode(first if base is None else base, second)
+    deployment.platform.objects[signing.digest_of(change)] = change
+    deployment.roll(2, delta=signing.digest_of(change))
+
+
+def test_follower_applies_a_delta_without_reading_the_body() -> None:
+    """Guards against whole bodies for each change, which exceed a node's traffic budget."""
+    deployment = Deployment(vms=1)
+    rolled_with_delta(deployment)
+    del deployment.platform.objects[signing.digest_of(signing.canonical(signed(bundle(2))))]
+    deployment.step(0)
+    assert deployment.followers[0].current == bundle(2)
+
+
+def test_follower_reads_the_body_when_the_delta_does_not_apply() -> None:
+    """Guards against a damaged delta that keeps a program at the old bundle."""
+    deployment = Deployment(vms=1)
+    rolled_with_delta(deployment, base=signing.canonical(signed(bundle(7))))
+    deployment.step(0)
+    assert deployment.followers[0].current == bundle(2)
+
+
+def test_program_that_missed_a_version_reads_the_body() -> None:
+    """Guards against applying a delta to another body than the one it was made from."""
+    deployment = Deployment(vms=2)
+    rolled_with_delta(deployment)
+    deployment.step(1)
+    assert deployment.followers[1].current == bundle(2)
--- a/tests/bundles/test_following.py
+++ b/tests/bundles/test_following.py
@@ -52,15 +52,15 @@
         """Replaces a program by a new one without memory."""
         self.followers[index] = self._start(self.settings[index])
 
-    def roll(self, version: int, body: SignedBundle | None = None) -> HeadNotice:
+    def roll(self, version: int, body: SignedBundle | None = None, delta: str = "") -> HeadNotice:
         """Stores a body and moves the head to it, as the operators' command does."""
         content = signing.canonical(body or signed(bundle(version)))
         digest = signing.digest_of(content)
         self.platform.objects[digest] = content
-        head = {"version": version, "digest": digest}
+        head = {"version": version, "digest": digest, "delta": delta}
         self.platform.apply([Write(HEAD_TABLE, HEAD_KEY, head)])
         self.accepted.append((self.clock.now, version))
-        return HeadNotice(version, digest, 0.0)
+        return HeadNotice(version, digest, 0.0, delta)
 
     def step(self, index: int) -> None:
         """Polls once and fetches what is wanted."""
