Roll bundles by one conditional transaction and chain audit rows

Head, audit row and roll id row change together. A lost response is resolved by reading the roll id; the same conditional transaction is then sent again, so at most one copy takes effect.

--- /dev/null
+++ b/siskindale/bundles/rolling.py
@@ -0,0 +1,290 @@
+"""Rolling of a signed bundle: the body first, then the head from n to n+1.
+
+Head, audit row and roll id row are written in one transaction, conditional on the head that was
+read and on the absence of the roll id. Sending that transaction again is therefore safe: at most
+one of the copies takes effect. A lost response is resolved by reading the roll id.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from siskindale.bundles import audit
+from siskindale.bundles.audit import AUDIT_TABLE, AuditRow
+from siskindale.bundles.following import HEAD_KEY, HEAD_TABLE
+from siskindale.bundles.heads import Head
+from siskindale.bundles.signing import canonical, digest_of
+from siskindale.context import Clock
+from siskindale.models.bundle import SignedBundle
+from siskindale.platform.interface import (
+    Condition,
+    Platform,
+    PlatformError,
+    PlatformFailure,
+    Row,
+    Write,
+)
+
+ROLL_TABLE = "rolls"
+RETRY_S = 0.25
+
+T = TypeVar("T")
+
+Sleep = Callable[[float], None]
+
+
+@attrs.frozen
+class HeadRow:
+    """Head of the table service with the version of its row, 0 while there is none."""
+
+    head: Head
+    row_version: int = 0
+    audit_hash: str = ""
+
+
+@attrs.frozen
+class RollRequest:
+    """A signed bundle to be rolled; `roll_id` is random, `timeout_s` bounds the whole attempt.
+
+    `resumed` says that an earlier attempt used the same id and ended without a certain outcome.
+    """
+
+    signed: SignedBundle
+    signers: tuple[str, ...]
+    operator: str
+    roll_id: str
+    timeout_s: float
+    resumed: bool = False
+
+
+@attrs.frozen
+class Accepted:
+    """The bundle is the head."""
+
+    head: Head
+
+
+@attrs.frozen
+class NotAccepted:
+    """The bundle is not the head and this roll will not make it so."""
+
+    reason: str
+    remedy: str = ""
+    conflict: bool = False
+
+
+@attrs.frozen
+class Unknown:
+    """The store did not say whether the roll took effect; its id tells later."""
+
+    roll_id: str
+    reason: str
+
+
+Outcome = Accepted | NotAccepted | Unknown
+
+
+def read_head(platform: Platform) -> Result[HeadRow, PlatformError]:
+    """Reads the head; version 0 before the first bundle."""
+    return platform.tables.read(HEAD_TABLE, HEAD_KEY).map(_head_row)
+
+
+def read_body(platform: Platform, head: Head) -> Result[bytes | None, PlatformError]:
+    """Reads the body of a head."""
+    return platform.objects.get(head.digest)
+
+
+def read_roll(platform: Platform, roll_id: str) -> Result[Head | None, PlatformError]:
+    """Returns the head that a roll has set, None if it has not taken effect."""
+    return platform.tables.read(ROLL_TABLE, roll_id).map(
+        lambda row: None if row is None else Head(row.value["version"], row.value["digest"])
+    )
+
+
+def read_audit(platform: Platform, version: int) -> AuditRow | None:
+    """Returns the audit row of a version, None where it is absent or cannot be read."""
+    row = platform.tables.read(AUDIT_TABLE, audit.key_of(version)).value_or(None)
+    return None if row is None else audit.from_value(row.value)
+
+
+class Roller:
+    """One attempt to roll a bundle."""
+
+    def __init__(
+        self, request: RollRequest, platform: Platform, clock: Clock, sleep: Sleep
+    ) -> None:
+        self._request = request
+        self._platform = platform
+        self._clock = clock
+        self._sleep = sleep
+        self._content = canonical(request.signed)
+        self._head = Head(request.signed.bundle.version, digest_of(self._content))
+        self._deadline = clock.monotonic() + request.timeout_s
+        self._uncertain = request.resumed
+        self._last_error = "the store did not respond in time"
+
+    def roll(self) -> Outcome:
+        """Returns what is known about the effect when it is certain or the time is over."""
+        earlier = self._earlier_outcome() if self._request.resumed else None
+        if earlier is not None:
+            return earlier
+        before = self._retried(lambda: read_head(self._platform))
+        if before is None:
+            return self._out_of_time()
+        if before.head == self._head:
+            return Accepted(self._head)
+        refusal = self._refusal(before)
+        if refusal is not None:
+            return refusal
+        if self._retried(self._store_body) is None:
+            return self._out_of_time()
+        return self._advance(before)
+
+    def _refusal(self, before: HeadRow) -> NotAccepted | None:
+        bundle = self._request.signed.bundle
+        if bundle.version != before.head.version + 1:
+            return self._overtaken(before.head)
+        if bundle.previous != before.head.digest:
+            return NotAccepted(
+                f"the bundle replaces {bundle.previous[:12] or 'nothing'},"
+                f" but version {before.head.version} is {before.head.digest[:12]}",
+                "start from `siskindale bundle new`",
+                conflict=True,
+            )
+        return None
+
+    def _store_body(self) -> Result[bool, PlatformError]:
+        """Stores the body and reads it back: the head must never name an absent body."""
+        stored = self._platform.objects.put(self._head.digest, self._content)
+        if isinstance(stored, Failure):
+            return stored
+        found = self._platform.objects.get(self._head.digest)
+        if found.value_or(None) == self._content:
+            return Success(True)
+        missing = PlatformError(PlatformFailure.UNAVAILABLE, "the stored body cannot be read back")
+        return found if isinstance(found, Failure) else Failure(missing)
+
+    def _advance(self, before: HeadRow) -> Outcome:
+        row = self._audit_row(before)
+        for _ in self._attempts():
+            committed = self._commit(before, row)
+            if isinstance(committed, Success):
+                return Accepted(self._head)
+            error = committed.failure()
+            if error.kind is PlatformFailure.CONFLICT:
+                return self._resolve_conflict(before)
+            self._note(error)
+            if error.kind is PlatformFailure.UNKNOWN:
+                self._uncertain = True
+            if self._uncertain and self._found():
+                return Accepted(self._head)
+        return self._out_of_time()
+
+    def _resolve_conflict(self, before: HeadRow) -> Outcome:
+        """The head or the roll id has changed: by an earlier copy of this roll or by another."""
+        earlier = self._earlier_outcome()
+        if earlier is not None:
+            return earlier
+        now = self._retried(lambda: read_head(self._platform))
+        if now is not None and now.row_version == before.row_version:
+            reason = "the store refused the roll although the head is unchanged"
+            return NotAccepted(reason, "run `siskindale audit --verify`", conflict=True)
+        # The head that the roll required is gone, so no copy of it can take effect any more.
+        return self._overtaken(None if now is None else now.head)
+
+    def _earlier_outcome(self) -> Outcome | None:
+        """Returns the outcome that the roll id shows, None if no copy has taken effect so far."""
+        mine = self._retried(lambda: read_roll(self._platform, self._request.roll_id).map(_boxed))
+        if mine is None:
+            self._uncertain = True
+            return self._out_of_time()
+        if mine[0] is None:
+            return None
+        return Accepted(self._head) if mine[0] == self._head else _reused(self._request.roll_id)
+
+    def _overtaken(self, head: Head | None) -> NotAccepted:
+        remedy = (
+            "print the next version with `siskindale bundle new`, repeat the change, sign, roll"
+        )
+        if head is None:
+            return NotAccepted("another operator has moved the head", remedy, conflict=True)
+        row = read_audit(self._platform, head.version) if head.version else None
+        by = f", rolled by {row.operator}" if row else ""
+        version = self._request.signed.bundle.version
+        reason = f"the bundle is version {version}, but the head is version {head.version}{by}"
+        return NotAccepted(reason, remedy, conflict=True)
+
+    def _commit(self, before: HeadRow, row: AuditRow) -> Result[int, PlatformError]:
+        head = attrs.asdict(self._head)
+        roll_id = self._request.roll_id
+        key = audit.key_of(row.sequence)
+        return self._platform.tables.commit(
+            [
+                Condition(HEAD_TABLE, HEAD_KEY, before.row_version),
+                Condition(AUDIT_TABLE, key, 0),
+                Condition(ROLL_TABLE, roll_id, 0),
+            ],
+            [
+                Write(HEAD_TABLE, HEAD_KEY, {**head, "audit_hash": row.hash}),
+                Write(AUDIT_TABLE, key, audit.to_value(row)),
+                Write(ROLL_TABLE, roll_id, {**head, "operator": row.operator}),
+            ],
+        )
+
+    def _audit_row(self, before: HeadRow) -> AuditRow:
+        return audit.sealed(
+            AuditRow(
+                sequence=self._head.version,
+                operator=self._request.operator,
+                action="roll",
+                at=self._clock.time(),
+                before=before.head.digest,
+                after=self._head.digest,
+                signers=self._request.signers,
+                roll_id=self._request.roll_id,
+                previous_hash=before.audit_hash,
+            )
+        )
+
+    def _found(self) -> bool:
+        return read_roll(self._platform, self._request.roll_id).value_or(None) == self._head
+
+    def _attempts(self) -> Iterator[None]:
+        """Yields until the time is over, with a pause before each further attempt."""
+        yield
+        while self._clock.monotonic() + RETRY_S < self._deadline:
+            self._sleep(RETRY_S)
+            yield
+
+    def _retried(self, call: Callable[[], Result[T, PlatformError]]) -> T | None:
+        for _ in self._attempts():
+            answer = call()
+            if isinstance(answer, Success):
+                return answer.unwrap()
+            self._note(answer.failure())
+        return None
+
+    def _note(self, error: PlatformError) -> None:
+        self._last_error = error.detail
+
+    def _out_of_time(self) -> Outcome:
+        if self._uncertain:
+            return Unknown(self._request.roll_id, self._last_error)
+        return NotAccepted(self._last_error, "nothing was changed; roll again when the store is up")
+
+
+def _head_row(row: Row | None) -> HeadRow:
+    if row is None:
+        return HeadRow(Head(0, ""))
+    head = Head(row.value["version"], row.value["digest"])
+    return HeadRow(head, row.version, row.value.get("audit_hash", ""))
+
+
+def _boxed(head: Head | None) -> tuple[Head | None]:
+    return (head,)
+
+
+def _reused(roll_id: str) -> NotAccepted:
+    return NotAccepted(f"roll id {roll_id} belongs to another bundle", "leave out --roll-id")
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -1,7 +1,8 @@
 """In-memory platform that can be down, be slow and lose answers.
 
 Faults are set on `FakePlatform.faults`; `lose_answers` counts commits that take effect although
-their answer is lost, `lose_requests` commits that are lost before they take effect.
+their answer is lost, `lose_requests` commits that are lost before they take effect, `late_commits`
+commits that take effect only at `deliver_late`.
 """
 
 from collections.abc import Callable, Sequence
@@ -30,6 +31,7 @@
     live_list_down: bool = False
     lose_answers: int = 0
     lose_requests: int = 0
+    late_commits: int = 0
     delay_s: float = 0.0
     before_commit: Callable[[], None] | None = None
 
@@ -44,6 +46,7 @@
         self.live = LiveView(frozenset(), frozenset())
         self.version = 0
         self.reads = 0
+        self.late: list[tuple[list[Condition], list[Write]]] = []
 
     def as_platform(self) -> Platform:
         """Returns the services as the programs see them."""
@@ -85,6 +88,10 @@
         if self.faults.lose_requests:
             self.faults.lose_requests -= 1
             return _unknown()
+        if self.faults.late_commits:
+            self.faults.late_commits -= 1
+            self.late.append((list(conditions), list(writes)))
+            return _unknown()
         if not all(self._holds(condition) for condition in conditions):
             return Failure(PlatformError(PlatformFailure.CONFLICT, "condition failed"))
         self.apply(writes)
@@ -98,6 +105,13 @@
         present = 0 if row is None or row.deleted else row.version
         return present == condition.version
 
+    def deliver_late(self) -> None:
+        """Applies the late commits whose conditions still hold."""
+        while self.late:
+            conditions, writes = self.late.pop(0)
+            if all(self._holds(condition) for condition in conditions):
+                self.apply(writes)
+
     def apply(self, writes: Sequence[Write]) -> None:
         """Writes regardless of faults, as another client that the platform still answers."""
         self.version += 1
