Add the operators' command

`siskindale` drafts, checks, compares, signs and rolls them, lists and verifies the audit, makes keys and asks programs for their status.

--- /dev/null
+++ b/siskindale/__main__.py
@@ -0,0 +1,15 @@
+"""Starts the operators' command."""
+
+import sys
+
+from siskindale import core
+from siskindale.context import Environment
+
+
+def main() -> None:
+    """Entry point of the installed command."""
+    sys.exit(core.main(sys.argv[1:], Environment()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/siskindale/output/listing.py
@@ -0,0 +1,55 @@
+"""Lists of results in the formats that commands offer."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+import msgspec
+
+from siskindale.registry import Registry
+
+
+@attrs.frozen
+class Listing:
+    """Rows of a result; `empty` is printed for people where there are none."""
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[Any, ...], ...]
+    empty: str = "nothing to list"
+
+
+FORMATTERS: Registry[Callable[[Listing], str]] = Registry("output format")
+
+
+@FORMATTERS.register("human")
+def format_human(listing: Listing) -> str:
+    """Returns aligned columns under a heading."""
+    if not listing.rows:
+        return listing.empty
+    cells = [tuple(name.replace("_", " ") for name in listing.columns)]
+    cells += [tuple(_text(value) for value in row) for row in listing.rows]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(listing.columns))]
+    return "\n".join(_line(row, widths) for row in cells)
+
+
+@FORMATTERS.register("json")
+def format_json(listing: Listing) -> str:
+    """Returns a list of objects with the columns as keys."""
+    rows = [dict(zip(listing.columns, row, strict=True)) for row in listing.rows]
+    return msgspec.json.format(msgspec.json.encode(rows)).decode()
+
+
+def _line(row: Iterable[str], widths: Iterable[int]) -> str:
+    return "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+
+
+def _text(value: Any) -> str:
+    if value is None or value == ():
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list | tuple):
+        return ", ".join(_text(item) for item in value)
+    if isinstance(value, dict):
+        return msgspec.json.encode(value).decode()
+    return str(value)
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command."""
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,187 @@
+"""Commands, their output and exit statuses."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from siskindale.bundles import audit
+from siskindale.models.settings import Address
+from siskindale.platform.interface import Write
+from siskindale.runtime.health import health_server
+from tests.cli.conftest import Operator
+
+
+def test_bundle_from_draft_to_head(operator: Operator) -> None:
+    """Guards against a break anywhere on an operator's usual path."""
+    assert operator.roll(operator.signed("first")) == 0
+    assert "first: accepted as version 1, digest " in operator.stdout
+    second = operator.signed("second", retry_budget=0.2)
+    assert operator.on("bundle", "check", second) == 0
+    assert operator.stdout == f"{second}: ok: version 2, follows version 1\n"
+    assert operator.on("bundle", "diff", second, "--json") == 0
+    changes = {row["path"]: row["after"] for row in json.loads(operator.stdout)}
+    assert changes.pop("$.retry_budget") == 0.2
+    assert set(changes) == {"$.version", "$.previous"}
+    assert operator.roll(second, "anton", "--json") == 0
+    assert json.loads(operator.stdout)[0]["version"] == 2
+    assert operator.on("bundle", "history", "--json") == 0
+    rows = json.loads(operator.stdout)
+    assert [(row["version"], row["operator"]) for row in rows] == [(2, "anton"), (1, "vesela")]
+    assert operator.on("bundle", "show", "--at", "1", "--full") == 0
+    assert json.loads(operator.stdout)["bundle"]["version"] == 1
+    assert operator.on("bundle", "show") == 0
+    assert "vesela, anton" in operator.stdout
+    assert operator.on("audit", "--verify") == 0
+
+
+def test_bundle_that_cannot_work_is_not_signed(operator: Operator) -> None:
+    """Guards against a signature under a bundle that would fail in effect."""
+    draft, out = operator.draft("draft", retry_budget=3.0, pools_per_group=0), operator.path("out")
+    sign = ("bundle", "sign", draft, "--key", operator.path("vesela"), "--out", out)
+    assert operator.on(*sign) == 2
+    assert operator.stderr == (
+        f"siskindale: error: {draft}: $.pools_per_group: is 0; expected 1 or more\n"
+        f"siskindale: error: {draft}: $.retry_budget: is 3.0; expected 0 to 1\n"
+    )
+    assert not Path(out).exists()
+
+
+def test_change_that_cannot_work_is_not_signed(operator: Operator) -> None:
+    """Guards against signing a change without a look at the bundle in effect."""
+    operator.roll(operator.signed("first"))
+    draft = operator.draft("draft", version=3)
+    sign = ("bundle", "sign", draft, "--key", operator.path("vesela"), "--out", "x")
+    assert operator.run(*sign) == 2
+    assert "name it by --settings or --previous" in operator.stderr
+    assert operator.on(*sign) == 2
+    assert "$.version: is 3; expected 2, the one after the bundle in effect" in operator.stderr
+
+
+def test_too_few_signatures_are_refused(operator: Operator) -> None:
+    """Guards against a roll that no program would adopt."""
+    draft, out = operator.draft("draft"), operator.path("out")
+    assert operator.on("bundle", "sign", draft, "--key", operator.path("vesela"), "--out", out) == 0
+    assert operator.roll(out) == 3
+    assert "1 of 2 required signatures are valid; trusted signers: vesela, anton" in operator.stderr
+
+
+def test_second_operator_is_told_who_won(operator: Operator) -> None:
+    """Guards against a silent overwrite when two operators roll at once."""
+    operator.roll(operator.signed("first"))
+    mine, other = operator.signed("mine", retry_budget=0.3), operator.signed("other")
+    assert operator.roll(other, "anton") == 0
+    assert operator.roll(mine) == 3
+    assert operator.stderr == (
+        f"siskindale: error: {mine}: not accepted: the bundle is version 2, but the head is"
+        " version 2, rolled by anton; print the next version with `siskindale bundle new`,"
+        " repeat the change, sign, roll\n"
+    )
+
+
+def test_store_down_is_told_as_not_accepted(operator: Operator) -> None:
+    """Guards against an outcome that leaves open what happened although nothing was sent."""
+    signed = operator.signed("first")
+    operator.platform.faults.objects_down = True
+    assert operator.roll(signed) == 1
+    assert "not accepted: the store is down; nothing was changed" in operator.stderr
+
+
+def test_unknown_outcome_is_resolved_by_the_roll_id(operator: Operator) -> None:
+    """Guards against a second roll of a bundle whose first roll took effect late."""
+    signed = operator.signed("first")
+    operator.platform.faults.late_commits = 99
+    assert operator.roll(signed) == 4
+    roll_id = operator.stderr.split()[-1]
+    assert operator.on("bundle", "show", "--roll", roll_id) == 4
+    operator.platform.faults.late_commits = 0
+    operator.platform.deliver_late()
+    assert operator.on("bundle", "show", "--roll", roll_id) == 0
+    assert operator.roll(signed, "vesela", "--roll-id", roll_id) == 0
+
+
+def test_slow_store_is_waited_for(operator: Operator) -> None:
+    """Guards against a refusal where the store only took its time."""
+    signed = operator.signed("first")
+    operator.platform.faults.delay_s = 0.05
+    assert operator.roll(signed) == 0
+
+
+def test_damaged_audit_is_an_error(operator: Operator) -> None:
+    """Guards against a verification that finds a fault and still succeeds."""
+    operator.roll(operator.signed("first"))
+    operator.platform.apply([Write(audit.AUDIT_TABLE, audit.key_of(1), None)])
+    assert operator.on("audit", "--verify") == 1
+    assert operator.stderr == "siskindale: error: audit/000000000001: the row is missing\n"
+
+
+def test_key_file_is_private_and_never_overwritten(operator: Operator) -> None:
+    """Guards against a key that others can read, and against the loss of a key."""
+    path = operator.directory / "key"
+    assert operator.run("key", "new", "marta", "--out", str(path)) == 0
+    assert json.loads(operator.stdout)["name"] == "marta"
+    assert path.stat().st_mode & 0o777 == 0o600
+    content = path.read_bytes()
+    assert operator.run("key", "new", "marta", "--out", str(path)) == 3
+    assert path.read_bytes() == content
+
+
+def test_status_asks_the_programs(operator: Operator) -> None:
+    """Guards against a status that succeeds although a program is not ready or absent."""
+    report = {"vm": "vm0", "program": "entry", "bundle_version": 7, "degraded": False}
+    reasons: list[str] = []
+    server = health_server(
+        Address("127.0.0.1", 0), lambda: reasons, reports={"/v1/operators/status": lambda: report}
+    )
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+    assert operator.run("status", "--address", address) == 0
+    assert operator.stdout.splitlines()[1].split() == ["vm0/entry", address, "yes", "7", "no", "-"]
+    reasons.append("the program is draining")
+    assert operator.run("status", "--address", address, "--json") == 1
+    row = json.loads(operator.stdout)[0]
+    assert (row["ready"], row["reasons"], row["status"]) == (False, reasons, report)
+    server.stop()
+    assert operator.run("status", "--address", address) == 1
+
+
+@pytest.mark.parametrize(
+    ("args", "message"),
+    [
+        ((), "Missing command"),
+        (("stats",), "did you mean 'status'?"),
+        (("bundle", "check", "none.json"), "none.json: No such file or directory"),
+        (("bundle", "diff", "none.json"), "none.json: No such file"),
+        (("bundle", "new", "--settings", "none.json"), "none.json: No such file"),
+        (("bundle", "sign", "a", "--key", "none", "--out", "x"), "none: No such file"),
+        (("status",), "name --settings or --address"),
+        (("status", "--address", "localhost:1"), "'localhost:1' is not IP:PORT"),
+        (("check-settings", "/"), "/: Is a directory"),
+    ],
+)
+def test_mistakes_give_one_line_and_status_2(
+    operator: Operator, args: tuple[str, ...], message: str
+) -> None:
+    """Guards against a traceback for a user's mistake."""
+    assert operator.run(*args) == 2
+    assert operator.stderr.startswith("siskindale: error: ")
+    assert message.lower() in operator.stderr.lower()
+
+
+def test_unknown_driver_and_broken_key_are_mistakes(operator: Operator) -> None:
+    """Guards against a traceback for a wrong name or value in a file."""
+    settings = operator.directory / "settings.json"
+    settings.write_text(settings.read_text().replace('"fake"', '"grpc"'))
+    assert operator.on("audit") == 2
+    assert "$.platform.driver: unknown platform driver 'grpc', known: " in operator.stderr
+    key = operator.directory / "vesela"
+    key.write_text('{"signer": "vesela", "private_key": "zz", "public_key": ""}')
+    assert operator.run("bundle", "sign", "x", "--key", str(key), "--out", "y") == 2
+    assert "$.private_key: is not an Ed25519 key" in operator.stderr
+
+
+@pytest.mark.parametrize("command", ["new", "check", "diff", "sign", "roll", "show", "history"])
+def test_help_has_an_example(operator: Operator, command: str) -> None:
+    """Guards against a command that only lists its options."""
+    assert operator.run("bundle", command, "--help") == 0
+    assert f"Example: siskindale bundle {command} " in operator.stdout
