Write a delta with each roll

Change: the roll stores the delta from the body before and names it in the head; without it programs read the whole body. Tests: the delta gives the body.

--- a/siskindale/bundles/rolling.py
+++ b/siskindale/bundles/rolling.py
@@ -11,7 +11,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from siskindale.bundles import audit
+from siskindale.bundles import audit, delta
 from siskindale.bundles.audit import AUDIT_TABLE, AuditRow
 from siskindale.bundles.following import HEAD_KEY, HEAD_TABLE
 from siskindale.bundles.heads import Head
@@ -140,6 +140,7 @@
             return refusal
         if self._retried(self._store_body) is None:
             return self._out_of_time()
+        self._store_delta(before.head)
         return self._advance(before)
 
     def _refusal(self, before: HeadRow) -> NotAccepted | None:
@@ -166,6 +167,18 @@
         missing = PlatformError(PlatformFailure.UNAVAILABLE, "the stored body cannot be read back")
         return found if isinstance(found, Failure) else Failure(missing)
 
+    def _store_delta(self, before: Head) -> None:
+        """Stores a delta from the body before; without one, programs read the whole body."""
+        if not before.version:
+            return
+        previous = read_body(self._platform, before).value_or(None)
+        if previous is None:
+            return
+        content = delta.encode(previous, self._content)
+        digest = digest_of(content)
+        if isinstance(self._platform.objects.put(digest, content), Success):
+            self._head = attrs.evolve(self._head, delta=digest)
+
     def _advance(self, before: HeadRow) -> Outcome:
         row = self._audit_row(before)
         for _ in self._attempts():
--- a/tests/bundles/test_rolling.py
+++ b/tests/bundles/test_rolling.py
@@ -6,7 +6,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from siskindale.bundles import audit, rolling
+from siskindale.bundles import audit, delta, following, rolling
 from siskindale.bundles.rolling import Accepted, NotAccepted, Outcome, RollRequest, Unknown
 from siskindale.models.bundle import SignedBundle
 from siskindale.platform.interface import Write
@@ -72,6 +72,16 @@
     assert findings(platform) == []
 
 
+def test_roll_leaves_a_delta_that_gives_the_body() -> None:
+    """Guards against a head that names a delta from another body."""
+    platform = rolled(1)
+    before = rolling.read_head(platform.as_platform()).unwrap().head
+    roll(platform, roll_id="r-second")
+    head = following.head_of(platform.read(following.HEAD_TABLE, following.HEAD_KEY).unwrap().value)
+    body = delta.apply(platform.objects[before.digest], platform.objects[head.delta])
+    assert body.unwrap() == platform.objects[head.digest]
+
+
 def test_loser_of_a_race_is_told_who_won_and_how_to_go_on() -> None:
     """Guards against an operator who believes that an overwritten change is in effect."""
     platform = rolled(1)
