--- a/tests/bench/test_checks.py
+++ b/tests/bench/test_checks.py
@@ -181,6 +181,15 @@
     assert status("graceful shutdown", record) is expected
 
 
+def test_other_fault_explains_unknown_but_no_cut() -> None:
+    """Guards against blaming a shutdown for a killed target, and against excusing a cut by it."""
+    stop = FaultEvent(1.05, "terminate", {}, {"vm": "vm1"})
+    kill = FaultEvent(0.5, "kill", {}, {"database": "caves"})
+    unknown, cut = event("write", 1, "unknown"), event("write", 1, "cut")
+    assert status("graceful shutdown", Record([unknown], [kill, stop])) is Status.HELD
+    assert status("graceful shutdown", Record([cut], [kill, stop])) is Status.VIOLATED
+
+
 def test_own_deadline_is_no_cut() -> None:
     """Guards against blaming a shutdown for a caller's deadline that passed during it."""
     stop = FaultEvent(1.05, "terminate", {}, {"vm": "vm1"})
--- /dev/null
+++ b/tests/bench/test_demo.py
@@ -0,0 +1,51 @@
+"""The demo as a process: it ends by itself or when interrupted, and leaves nothing behind."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import psutil
+import pytest
+
+from bench.processes import ROOT, wait_until
+
+
+@pytest.fixture
+def demo(tmp_path: Path) -> Iterator["subprocess.Popen[str]"]:
+    """A running demo with its files under `tmp_path`."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "bench", "demo", "--seconds", "10"],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": str(ROOT), "TMPDIR": str(tmp_path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    yield process
+    process.kill()
+    process.communicate()
+
+
+def started_by(process: "subprocess.Popen[str]") -> list[psutil.Process]:
+    return psutil.Process(process.pid).children(recursive=True)
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
+def test_interrupted_demo_leaves_no_process(
+    demo: "subprocess.Popen[str]", number: signal.Signals, tmp_path: Path
+) -> None:
+    """Guards against stand-ins and programs that outlive the demo."""
+    wait_until(lambda: len(started_by(demo)) >= 12, 30, "start of the programs")
+    children = started_by(demo)
+    time.sleep(0.5)
+    children += started_by(demo)
+    demo.send_signal(number)
+    demo.communicate(timeout=10)
+    wait_until(lambda: not any(child.is_running() for child in children), 5, "end of all")
+    if number is not signal.SIGKILL:
+        assert demo.returncode == 1
+        assert list(tmp_path.iterdir()) == []
