--- a/bench/schema.py
+++ b/bench/schema.py
@@ -7,9 +7,9 @@
 from collections.abc import Iterator
 
 TABLES = (
-    "CREATE TABLE events (uid TEXT, session TEXT, seq INTEGER)",
-    "CREATE INDEX events_by_session ON events (session, seq)",
-    "CREATE TABLE registers (name TEXT PRIMARY KEY, value TEXT)",
+    "CREATE TABLE IF NOT EXISTS events (uid TEXT, session TEXT, seq INTEGER)",
+    "CREATE INDEX IF NOT EXISTS events_by_session ON events (session, seq)",
+    "CREATE TABLE IF NOT EXISTS registers (name TEXT PRIMARY KEY, value TEXT)",
 )
 INITIAL = "initial"
 
@@ -35,7 +35,7 @@
     """Returns the statements that create and fill the tables."""
     yield from ((sql, ()) for sql in TABLES)
     for name in register_names(registers):
-        yield "INSERT INTO registers VALUES (?, ?)", (name, INITIAL)
+        yield "INSERT OR IGNORE INTO registers VALUES (?, ?)", (name, INITIAL)
 
 
 def with_cost(sql: str, cost_ms: float) -> str:
