--- a/siskindale/entry/gateway.py
+++ b/siskindale/entry/gateway.py
@@ -78,8 +78,7 @@
             problem = result.failure()
             outcome, refusal = problem.outcome, str(problem.refusal.kind)
         name = exchange.statement_class
-        metrics.REQUESTS.labels(name, outcome, refusal).inc()
-        metrics.DURATION.labels(name).observe(duration_s)
+        metrics.answered(name, str(outcome), refusal, duration_s)
         self._log.info(
             "request",
             request_id=exchange.request_id,
@@ -228,6 +227,4 @@
         positions = {g: p for g, p in session.positions.items() if g in groups and p.term}
         if not positions:
             return None
-        return tokens.encode(
-            self._parts.settings.session_keys, attrs.evolve(session, positions=positions)
-        )
+        return tokens.encode(self._parts.settings.session_keys, Session(session.caller, positions))
--- a/siskindale/entry/headers.py
+++ b/siskindale/entry/headers.py
@@ -1,5 +1,6 @@
 """Request headers of the callers' API, decoded with all findings."""
 
+import functools
 import re
 import uuid
 from collections.abc import Iterator, Sequence
@@ -75,17 +76,22 @@
     text: str | None, keys: Sequence[SessionKey], caller: str
 ) -> Result[Session, str]:
     """Joins the positions of all tokens of the header, which a comma separates."""
-    session = Session(caller)
-    for part in text.split(",") if text else ():
-        decoded = tokens.decode(keys, part.strip())
-        if isinstance(decoded, Failure):
-            return Failure(decoded.failure())
-        other = decoded.unwrap()
-        if other.caller != caller:
-            return Failure("the token belongs to another caller")
-        for group, position in other.positions.items():
-            session = session.advanced(group, position)
-    return Success(session)
+    if not text:
+        return Success(Session(caller))
+    decoded = [tokens.decode(keys, part.strip()) for part in text.split(",")]
+    failed = next((result for result in decoded if isinstance(result, Failure)), None)
+    if failed is not None:
+        return Failure(failed.failure())
+    sessions = [result.unwrap() for result in decoded]
+    if any(session.caller != caller for session in sessions):
+        return Failure("the token belongs to another caller")
+    return Success(functools.reduce(_join, sessions))
+
+
+def _join(session: Session, other: Session) -> Session:
+    for group, position in other.positions.items():
+        session = session.advanced(group, position)
+    return session
 
 
 def _findings(deadline: str | None, key: str | None) -> Iterator[Finding]:
--- a/siskindale/entry/metrics.py
+++ b/siskindale/entry/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of the entry; classes come from the bundle, so that labels stay bounded."""
 
+import functools
+
 from prometheus_client import Counter, Gauge, Histogram
 
 REQUESTS = Counter(
@@ -25,3 +27,13 @@
 )
 AVOIDED_POOLS = Gauge("siskindale_entry_avoided_pools", "Pools that get no new work.")
 BUNDLE_VERSION = Gauge("siskindale_entry_bundle_version", "Version of the bundle in effect.")
+
+# Looking up a series by its labels costs more than counting.
+_requests = functools.cache(REQUESTS.labels)
+_duration = functools.cache(DURATION.labels)
+
+
+def answered(statement_class: str, outcome: str, refusal: str, duration_s: float) -> None:
+    """Counts a request that was answered."""
+    _requests(statement_class, outcome, refusal).inc()
+    _duration(statement_class).observe(duration_s)
