Run one set of settings checks in all programs

Programs now start only with settings that pass, and check-settings prints "FILE: ok". tests/test_program.py expects that line and the wording of the shared address; it still counts 12 findings.

--- a/siskindale/config/settings_rules.py
+++ b/siskindale/config/settings_rules.py
@@ -4,6 +4,8 @@
 import logging
 from collections.abc import Iterator
 
+import siskindale.platform.http
+import siskindale.targets.http  # noqa: F401 - registers the drivers
 from siskindale.config.rules import (
     SETTINGS_CHECKS,
     Problem,
@@ -16,6 +18,8 @@
 )
 from siskindale.config.structuring import suggest
 from siskindale.models.settings import Address, Settings
+from siskindale.platform.interface import PLATFORM_DRIVERS
+from siskindale.targets.interface import TARGET_DRIVERS
 
 SECRET_BYTES = 32
 PUBLIC_KEY_BYTES = 32
@@ -128,6 +132,18 @@
     )
 
 
+@SETTINGS_CHECKS.register("drivers")
+def check_drivers(settings: Settings) -> Iterator[Problem]:
+    """Drivers are registered under the names that the settings use."""
+    for path, name, known in (
+        ("$.platform.driver", settings.platform.driver, PLATFORM_DRIVERS.names),
+        ("$.pool.target_driver", settings.pool.target_driver, TARGET_DRIVERS.names),
+        ("$.controller.target_driver", settings.controller.target_driver, TARGET_DRIVERS.names),
+    ):
+        if name not in known:
+            yield Problem(path, f"unknown driver {name!r}", suggest(name, known))
+
+
 @SETTINGS_CHECKS.register("log level")
 def check_log_level(settings: Settings) -> Iterator[Problem]:
     """The level is one that logging knows."""
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -173,7 +173,7 @@
     settings = operator.directory / "settings.json"
     settings.write_text(settings.read_text().replace('"fake"', '"grpc"'))
     assert operator.on("audit") == 2
-    assert "$.platform.driver: unknown platform driver 'grpc', known: " in operator.stderr
+    assert "$.platform.driver: unknown driver 'grpc'; known: " in operator.stderr
     key = operator.directory / "vesela"
     key.write_text('{"signer": "vesela", "private_key": "zz", "public_key": ""}')
     assert operator.run("bundle", "sign", "x", "--key", str(key), "--out", "y") == 2
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -40,7 +40,7 @@
     """Guards against a check that accepts other settings than the program."""
     good = write(tmp_path / "settings.json")
     assert call("--settings", good) == (ExitStatus.SUCCESS, "served vm0\n", "")
-    assert call("check-settings", good) == (ExitStatus.SUCCESS, "", "")
+    assert call("check-settings", good) == (ExitStatus.SUCCESS, f"{good}: ok\n", "")
 
 
 @pytest.mark.parametrize("command", ["--settings", "check-settings"])
@@ -71,7 +71,7 @@
     status, _, errors = call("check-settings", bad)
     assert status == ExitStatus.INVALID_INPUT
     assert len(errors.splitlines()) == 12
-    assert "$.entry.inbox, $.pool.inbox" in errors
+    assert "$.pool.inbox: address '127.0.0.1:20001' is already used at $.entry.inbox" in errors
 
 
 @pytest.mark.parametrize("args", [[], ["--sttings", "x"], ["check-settings"], ["--settings", "/x"]])
