Prove ages of long lags, refuse results over the limit

Cause: 128 samples at a spacing of 10 ms proved ages up to 1.28 s only, so replicas that lag more never served reads that accept it; results had no limit. Change: a sorted list of up to 2,000 samples with binary search; results over max_result_bytes are refused, and their transaction is ended.

--- a/siskindale/pool/systems/completion.py
+++ b/siskindale/pool/systems/completion.py
@@ -6,7 +6,7 @@
 
 from siskindale.models.outcomes import RefusalKind
 from siskindale.models.wire import StatementRequest
-from siskindale.pool import answers
+from siskindale.pool import answers, results
 from siskindale.pool.effects import BatchEnded, Effect
 from siskindale.pool.systems import (
     acknowledgement,
@@ -63,9 +63,26 @@
     request.batch = batch
     if batch.term > request.group.term:
         discovery.poll_soon(tables, request.group, now)
+    if results.size(batch) > tables.settings.pool.max_result_bytes:
+        return _too_large(tables, request)
     return _SUCCEEDED[request.stage](tables, request, now)
 
 
+def _too_large(tables: Tables, request: RequestRow) -> list[Effect]:
+    """Ends a request whose result exceeds the limit, together with its transaction if any."""
+    connection, request.connection = request.connection, None
+    assert connection is not None
+    if connection.transaction is not None:
+        transactions.end(tables, connection.transaction)
+    effects = connections.close(tables, connection)
+    if request.stage in (Stage.WRITE, Stage.COMMIT):
+        return effects + answers.lose(tables, request, "the result of the write is too large")
+    limit = tables.settings.pool.max_result_bytes
+    return effects + answers.refuse(
+        tables, request, RefusalKind.TOO_LARGE, f"the result exceeds {limit} bytes"
+    )
+
+
 def _release(tables: Tables, request: RequestRow) -> list[Effect]:
     connection, request.connection = request.connection, None
     return connections.release(tables, connection) if connection is not None else []
--- a/siskindale/pool/systems/freshness.py
+++ b/siskindale/pool/systems/freshness.py
@@ -1,5 +1,7 @@
 """Freshness: samples of the primary's position, and the proved age of a replica's answer."""
 
+from bisect import bisect_right
+
 from siskindale.models.group import Role, TargetStatus, majority
 from siskindale.pool.effects import AskStatus, Effect
 from siskindale.pool.tables import (
@@ -15,6 +17,8 @@
 SAMPLE_TIMEOUT_S = 0.3
 # Bounds the samples that acknowledged writes add under load.
 MIN_SAMPLE_SPACING_S = 0.01
+# Enough for replicas that lag by 10 s, at the smallest spacing.
+KEPT_SAMPLES = 1000
 
 
 def wanted(tables: Tables, group: GroupRow, request: RequestRow, now: float) -> None:
@@ -63,17 +67,25 @@
     """Keeps a proof; older ones than the newest, and too many in a short time, are not kept."""
     if term != group.term or not group.writable:
         return
-    if group.samples and at - group.samples[-1].at < MIN_SAMPLE_SPACING_S:
-        return
-    group.samples.append(SampleRow(at, term, position))
+    samples = group.samples
+    if samples:
+        if at - samples[-1].at < MIN_SAMPLE_SPACING_S:
+            return
+        # A larger position is a weaker claim, so it keeps the list sorted by position.
+        position = max(position, samples[-1].position)
+    samples.append(SampleRow(at, term, position))
+    if len(samples) >= 2 * KEPT_SAMPLES:
+        del samples[:KEPT_SAMPLES]
 
 
 def proved_age(group: GroupRow, applied: int, now: float) -> float | None:
     """Returns a bound in seconds on the age of data at an applied position of the term."""
-    for entry in reversed(group.samples):
-        if entry.position <= applied and entry.term == group.term:
-            return now - entry.at
-    return None
+    count = bisect_right(group.samples, applied, key=_position)
+    return now - group.samples[count - 1].at if count else None
+
+
+def _position(sample: SampleRow) -> int:
+    return sample.position
 
 
 def promising(group: GroupRow, target: TargetRow, request: RequestRow, now: float) -> bool:
--- a/siskindale/pool/tables.py
+++ b/siskindale/pool/tables.py
@@ -173,7 +173,7 @@
     by_since: list[tuple[float, int, "RequestRow"]] = attrs.field(factory=list)
     by_position: list[tuple[int, int, "RequestRow"]] = attrs.field(factory=list)
     later_terms: "list[RequestRow]" = attrs.field(factory=list)
-    samples: deque[SampleRow] = attrs.field(factory=lambda: deque(maxlen=128))
+    samples: list[SampleRow] = attrs.field(factory=list)
     sampling: SamplingRow | None = None
     sampled_at: float = -1e9
     sample_interval_s: float = 0.05
--- a/tests/pool/test_decisions.py
+++ b/tests/pool/test_decisions.py
@@ -6,7 +6,7 @@
 from siskindale.models.outcomes import Outcome, RefusalKind
 from siskindale.models.wire import StatementRequest
 from siskindale.pool.effects import BundleAdopted, DirectoryChanged, RequestArrived
-from siskindale.pool.systems import acknowledgement, admission, connections, discovery
+from siskindale.pool.systems import acknowledgement, admission, connections, discovery, freshness
 from siskindale.pool.systems import idempotency as keyed
 from siskindale.pool.tables import Phase, QueueRow
 from tests.pool.oracle import Asked
@@ -248,3 +248,30 @@
         asked = Asked(world.sessions[0], "write", request_id=case.request_id)
         world.step(0, RequestArrived(case, asked, 0.0))
         assert refusal(asked) is kind
+
+
+def test_too_large_results_are_refused(world: World) -> None:
+    """Guards against one result that takes the memory of all others."""
+    tables = world.pools[0]
+    for _ in range(3):
+        world.write(0, 0)
+        world.run(0.1)
+    tables.settings = attrs.evolve(
+        tables.settings, pool=attrs.evolve(tables.settings.pool, max_result_bytes=20)
+    )
+    read = world.read(0, 0)
+    world.run(0.2)
+    assert refusal(read) is RefusalKind.TOO_LARGE
+
+
+def test_proved_age_of_a_lagging_replica(world: World) -> None:
+    """Guards against ages below the true one, and against samples too few for a long lag."""
+    group = world.pools[0].groups["g"]
+    group.samples.clear()
+    for second in range(1500):
+        freshness.add(group, 1, 100 + second, world.now + second / 100)
+    freshness.add(group, 1, 0, world.now + 15.0)
+    now = world.now + 15.0
+    assert freshness.proved_age(group, 100 + 600, now) == pytest.approx(9.0)
+    assert freshness.proved_age(group, 1598, now) == pytest.approx(0.02, abs=1e-6)
+    assert freshness.proved_age(group, 99, now) is None
