Let one read pass writes that wait for a lock

Cause: with 2 slots and 2 pools each pool has one slot of a primary. A write that waits for the lock of an idle transaction held it, so all strict reads of the group waited for up to 5 s. Change: reads and writes at the primary have queues of their own in the order of the classes; one read may run beside writes that fill the slots. Conclusion: a test that failed before passes.

--- a/siskindale/pool/systems/admission.py
+++ b/siskindale/pool/systems/admission.py
@@ -43,8 +43,8 @@
 def expected_wait_s(group: GroupRow, request: RequestRow) -> float:
     """Returns the time in seconds until a request of this class would be served."""
     ahead = 0
-    for name, queue in group.queues[request.lane].items():
-        ahead += queue.live
+    for name in group.queues[request.lane]:
+        ahead += sum(group.queues[lane][name].live for lane in _same_slots(request.lane))
         if name == request.statement_class:
             break
     serving = [t for t in group.targets.values() if _serves(group, t, request.lane)]
@@ -57,7 +57,11 @@
 
 
 def _serves(group: GroupRow, target: TargetRow, lane: Lane) -> bool:
-    return (target is group.primary) == (lane is Lane.PRIMARY) and bool(target.open)
+    return (target is group.primary) == (lane is not Lane.REPLICA) and bool(target.open)
+
+
+def _same_slots(lane: Lane) -> tuple[Lane, ...]:
+    return (Lane.REPLICA,) if lane is Lane.REPLICA else (Lane.READ, Lane.WRITE)
 
 
 def _append(tables: Tables, request: RequestRow, left: bool) -> None:
@@ -75,11 +79,9 @@
     tables.touch(request.group)
 
 
-def requeue(
-    tables: Tables, request: RequestRow, stage: Stage, lane: Lane, now: float
-) -> list[Effect]:
+def requeue(tables: Tables, request: RequestRow, stage: Stage, now: float) -> list[Effect]:
     """Queues an admitted request for its next stage, ahead of those that came later."""
-    request.stage, request.lane = stage, lane
+    request.stage = stage
     _append(tables, request, left=True)
     return []
 
@@ -95,7 +97,7 @@
     """Queues a request whose delay is over."""
     if request.phase is not Phase.WAITING:
         return []
-    return requeue(tables, request, request.stage, request.lane, now)
+    return requeue(tables, request, request.stage, now)
 
 
 def may_retry(request: RequestRow) -> bool:
@@ -120,8 +122,12 @@
 
 def _dispatch_primary(tables: Tables, group: GroupRow, now: float) -> list[Effect]:
     effects: list[Effect] = []
-    queues = group.queues.get(Lane.PRIMARY, {})
+    if not group.queues:
+        return effects
+    reads, writes = group.queues[Lane.READ], group.queues[Lane.WRITE]
+    both = [queue for name in reads for queue in (reads[name], writes[name])]
     while (target := routing.primary(tables, group, now)) is not None:
+        queues = both if connections.ready(target) else list(reads.values())
         queue = choose(queues)
         if queue is None:
             break
@@ -139,7 +145,7 @@
 
 def _dispatch_replicas(tables: Tables, group: GroupRow, now: float) -> list[Effect]:
     effects: list[Effect] = []
-    queues = group.queues.get(Lane.REPLICA, {})
+    queues = list(group.queues.get(Lane.REPLICA, {}).values())
     while (queue := choose(queues)) is not None:
         request = queue.waiting[0]
         candidates = [] if tables.degraded else routing.replicas(tables, group, request, now)
@@ -151,7 +157,7 @@
         if refusal is not None:
             effects += refusal
         elif target is None:
-            request.stage, request.lane = Stage.READ, Lane.PRIMARY
+            request.stage = Stage.READ
             _append(tables, request, left=False)
         else:
             effects += batches.start(tables, request, connections.take(target), now)
@@ -177,9 +183,9 @@
     return isinstance(body, StatementRequest) and body.access != "read" and body.key is None
 
 
-def choose(queues: dict[str, QueueRow]) -> QueueRow | None:
+def choose(queues: list[QueueRow]) -> QueueRow | None:
     """Returns the first class in bundle order, or one that has waited for its minimum share."""
-    waiting = [queue for queue in queues.values() if queue.live]
+    waiting = [queue for queue in queues if queue.live]
     if not waiting:
         return None
     for queue in waiting:
@@ -189,9 +195,9 @@
     return starved if starved.deficit >= 1 else waiting[0]
 
 
-def pop(queues: dict[str, QueueRow], queue: QueueRow) -> RequestRow:
+def pop(queues: list[QueueRow], queue: QueueRow) -> RequestRow:
     """Takes the head of a queue; the classes that keep waiting earn their share."""
-    for other in queues.values():
+    for other in queues:
         if other is not queue and other.live:
             other.deficit += other.statement_class.min_share
     queue.deficit = max(0.0, queue.deficit - 1)
--- a/siskindale/pool/systems/completion.py
+++ b/siskindale/pool/systems/completion.py
@@ -20,7 +20,6 @@
 )
 from siskindale.pool.tables import (
     GroupRow,
-    Lane,
     Phase,
     RequestRow,
     Stage,
@@ -134,7 +133,7 @@
         request.phase, request.parked_since = Phase.WAITING, sampling.at
         group.parked.append(request)
         return []
-    return admission.requeue(tables, request, Stage.READ, Lane.PRIMARY, now)
+    return admission.requeue(tables, request, Stage.READ, now)
 
 
 def _key_insert(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
@@ -146,7 +145,7 @@
         request.below_watermark = True
         effects = connections.close(tables, connection)
         request.connection = None
-        return effects + admission.requeue(tables, request, Stage.KEY_LOOKUP, Lane.PRIMARY, now)
+        return effects + admission.requeue(tables, request, Stage.KEY_LOOKUP, now)
     _take_result(request, idempotency.STATEMENT_STEP)
     request.stage = Stage.KEY_RECORD
     return batches.start(tables, request, connection, now)
@@ -164,7 +163,7 @@
 def _schema(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     request.group.schema_ready = True
     effects = _release(tables, request)
-    return effects + admission.requeue(tables, request, Stage.KEY_INSERT, Lane.PRIMARY, now)
+    return effects + admission.requeue(tables, request, Stage.KEY_INSERT, now)
 
 
 def _begin(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
@@ -256,7 +255,7 @@
             RefusalKind.KEY_EXPIRED,
             "the idempotency key lies below the pruning watermark",
         )
-    return admission.requeue(tables, request, Stage.KEY_INSERT, Lane.PRIMARY, now)
+    return admission.requeue(tables, request, Stage.KEY_INSERT, now)
 
 
 def unconfirmed(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
@@ -264,10 +263,10 @@
     discovery.poll_soon(tables, request.group, now)
     batch_term = request.batch.term if request.batch is not None else 0
     if request.stage in (Stage.READ, Stage.KEY_LOOKUP):
-        return admission.requeue(tables, request, request.stage, Lane.PRIMARY, now)
+        return admission.requeue(tables, request, request.stage, now)
     if request.stage is Stage.KEY_RECORD:
         request.unsure_term = max(request.unsure_term, batch_term)
-        return admission.requeue(tables, request, Stage.KEY_LOOKUP, Lane.PRIMARY, now)
+        return admission.requeue(tables, request, Stage.KEY_LOOKUP, now)
     if request.stage is Stage.TRANSACTION_STATEMENT and request.transaction is not None:
         return transactions.abort(tables, request.transaction)
     return answers.lose(tables, request, "the primary was replaced before a majority confirmed")
@@ -314,7 +313,7 @@
         return repeat(tables, request, now)
     if request.stage is Stage.KEY_RECORD:
         request.unsure_term = max(request.unsure_term, request.sent_term)
-        return admission.requeue(tables, request, Stage.KEY_LOOKUP, Lane.PRIMARY, now)
+        return admission.requeue(tables, request, Stage.KEY_LOOKUP, now)
     if request.stage is Stage.BEGIN:
         return answers.refuse(
             tables, request, RefusalKind.UNAVAILABLE, "the transaction could not be opened"
@@ -328,7 +327,7 @@
 def repeat(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     """Runs a stage again that has no effect until a later one."""
     stage = Stage.READ if request.stage is Stage.REPLICA_READ else request.stage
-    request.stage, request.lane = stage, Lane.PRIMARY
+    request.stage = stage
     if not admission.may_retry(request):
         if request.stage in (Stage.KEY_INSERT, Stage.SCHEMA):
             return answers.refuse(
@@ -351,12 +350,12 @@
             tables, request, RefusalKind.UNKNOWN_TRANSACTION, "the transaction has ended"
         )
     if request.stage is Stage.REPLICA_READ:
-        request.stage, request.lane = Stage.READ, Lane.PRIMARY
+        request.stage = Stage.READ
     if request.stage is Stage.KEY_RECORD:
         request.stage = Stage.KEY_INSERT
     if error.kind is TargetFailure.UNREACHABLE:
         # The connection was closed while idle; the next one is tried at once.
-        return admission.requeue(tables, request, request.stage, request.lane, now)
+        return admission.requeue(tables, request, request.stage, now)
     return admission.later(tables, request, now, ROLE_RETRY_S)
 
 
@@ -365,14 +364,14 @@
 ) -> list[Effect]:
     in_own_table = request.stage is Stage.KEY_INSERT and error.step == idempotency.INSERT_STEP
     if in_own_table and error.kind is TargetFailure.CONSTRAINT:
-        return admission.requeue(tables, request, Stage.KEY_LOOKUP, Lane.PRIMARY, now)
+        return admission.requeue(tables, request, Stage.KEY_LOOKUP, now)
     if in_own_table and not request.group.schema_ready:
-        return admission.requeue(tables, request, Stage.SCHEMA, Lane.PRIMARY, now)
+        return admission.requeue(tables, request, Stage.SCHEMA, now)
     if request.stage is Stage.KEY_LOOKUP and not request.group.schema_ready:
-        return admission.requeue(tables, request, Stage.SCHEMA, Lane.PRIMARY, now)
+        return admission.requeue(tables, request, Stage.SCHEMA, now)
     if request.stage is Stage.REPLICA_READ:
         # A lagging replica may lack a table that the primary has.
-        return admission.requeue(tables, request, Stage.READ, Lane.PRIMARY, now)
+        return admission.requeue(tables, request, Stage.READ, now)
     return answers.refuse(tables, request, RefusalKind.INVALID_STATEMENT, error.detail)
 
 
--- a/siskindale/pool/systems/connections.py
+++ b/siskindale/pool/systems/connections.py
@@ -16,6 +16,7 @@
 from siskindale.pool.tables import (
     ConnectionRow,
     GroupRow,
+    Lane,
     RequestRow,
     Tables,
     TargetRow,
@@ -56,6 +57,14 @@
     return bool(target.idle) and target.running < target.slots
 
 
+def ready_for_read(target: TargetRow) -> bool:
+    """Whether the target can take a read; one may run beside writes that fill all slots.
+
+    Writes may wait for the lock of an idle transaction, which would stop all reads as well.
+    """
+    return ready(target) or (bool(target.idle) and not target.reading)
+
+
 def take(target: TargetRow) -> ConnectionRow:
     """Removes a connection from the idle ones, for the start of a batch."""
     return target.idle.pop()
@@ -67,18 +76,25 @@
     connection.request = request
     request.connection = connection
     connection.target.running += 1
+    connection.target.reading += request.lane is not Lane.WRITE
 
 
 def finished(connection: ConnectionRow, now: float) -> None:
     """Marks the batch as answered; the connection stays reserved."""
     target, request = connection.target, connection.request
-    target.running -= 1
-    connection.busy = False
+    _vacate(connection)
     if request is not None:
         change = now - request.since - target.service_s
         target.service_s += change * (RECOVERY_WEIGHT if change < 0 else SERVICE_WEIGHT)
 
 
+def _vacate(connection: ConnectionRow) -> None:
+    target, request = connection.target, connection.request
+    connection.busy = False
+    target.running -= 1
+    target.reading -= request is not None and request.lane is not Lane.WRITE
+
+
 def release(tables: Tables, connection: ConnectionRow) -> list[Effect]:
     """Returns a connection outside of a transaction to the idle ones.
 
@@ -110,9 +126,8 @@
         return []
     target = connection.target
     if connection.busy:
-        target.running -= 1
+        _vacate(connection)
     connection.closed = True
-    connection.busy = False
     connection.request = None
     target.open.pop(connection.number, None)
     tables.connections.pop(connection.number, None)
--- a/siskindale/pool/systems/discovery.py
+++ b/siskindale/pool/systems/discovery.py
@@ -115,8 +115,9 @@
         }
         for entry in tables.bundle.classes:
             new[entry.name].statement_class = entry
-        # Classes that left the bundle keep their queue until it is empty.
-        row.queues[lane] = new | {name: queue for name, queue in old.items() if queue.live}
+        # Classes that left the bundle keep their queues until the group is dropped, as requests may
+        # come back to them; there are few.
+        row.queues[lane] = new | old
 
 
 def _is_unused(tables: Tables, row: GroupRow, now: float) -> bool:
--- a/siskindale/pool/systems/intake.py
+++ b/siskindale/pool/systems/intake.py
@@ -22,7 +22,6 @@
 )
 from siskindale.pool.tables import (
     GroupRow,
-    Lane,
     Phase,
     RequestRow,
     Stage,
@@ -68,7 +67,7 @@
         fault = RefusalKind.OVERLOADED, "the caller has too many requests in progress"
         return _refuse(event, fault, RETRY_HINT_MS)
     request = _row(tables, event, group, body.statement_class, now, deadline)
-    request.stage, request.lane = _first_stage(tables, request, now)
+    request.stage = _first_stage(tables, request, now)
     return admission.enqueue(tables, request, now)
 
 
@@ -133,7 +132,6 @@
         statement_class=statement_class,
         arrived=now,
         deadline=deadline,
-        lane=Lane.PRIMARY,
         stage=Stage.WRITE,
         phase=Phase.WAITING,
     )
@@ -144,18 +142,18 @@
     return row
 
 
-def _first_stage(tables: Tables, request: RequestRow, now: float) -> tuple[Stage, Lane]:
+def _first_stage(tables: Tables, request: RequestRow, now: float) -> Stage:
     body = request.body
     if isinstance(body, BeginRequest):
-        return Stage.BEGIN, Lane.PRIMARY
+        return Stage.BEGIN
     assert isinstance(body, StatementRequest)
     if body.access != "read":
-        return (Stage.KEY_INSERT if body.key is not None else Stage.WRITE), Lane.PRIMARY
+        return Stage.KEY_INSERT if body.key is not None else Stage.WRITE
     if not body.max_age_ms or tables.degraded:
-        return Stage.READ, Lane.PRIMARY
+        return Stage.READ
     request.max_age_s = body.max_age_ms / 1000
     freshness.wanted(tables, request.group, request, now)
-    return Stage.REPLICA_READ, Lane.REPLICA
+    return Stage.REPLICA_READ
 
 
 def _in_transaction(
--- a/siskindale/pool/systems/pruning.py
+++ b/siskindale/pool/systems/pruning.py
@@ -3,7 +3,7 @@
 from siskindale.models.wire import StatementRequest
 from siskindale.pool.effects import Effect
 from siskindale.pool.systems import batches, connections, idempotency, routing
-from siskindale.pool.tables import GroupRow, Lane, RequestRow, Stage, Tables
+from siskindale.pool.tables import GroupRow, RequestRow, Stage, Tables
 
 PRUNE_TIMEOUT_S = 1.0
 
@@ -13,7 +13,7 @@
     if not idempotency.prune_due(group, now):
         return []
     target = routing.primary(tables, group, now)
-    if target is None:
+    if target is None or not connections.ready(target):
         return []
     group.pruned_at, group.pruning = now, True
     request = RequestRow(
@@ -24,7 +24,6 @@
         statement_class="",
         arrived=now,
         deadline=now + PRUNE_TIMEOUT_S,
-        lane=Lane.PRIMARY,
         stage=Stage.PRUNE,
     )
     tables.requests[request.number] = request
--- a/siskindale/pool/systems/routing.py
+++ b/siskindale/pool/systems/routing.py
@@ -5,9 +5,9 @@
 
 
 def primary(tables: Tables, group: GroupRow, now: float) -> TargetRow | None:
-    """Returns the primary if it can take a batch now."""
+    """Returns the primary if it can take at least a read now."""
     target = group.primary
-    if target is None or not group.writable or not connections.ready(target):
+    if target is None or not group.writable or not connections.ready_for_read(target):
         return None
     return target if connections.allowed(tables, target, now) else None
 
--- a/siskindale/pool/tables.py
+++ b/siskindale/pool/tables.py
@@ -23,9 +23,10 @@
 
 
 class Lane(enum.Enum):
-    """Kind of target that a request waits for."""
+    """What a request waits for; a write may wait for locks that do not concern a read."""
 
-    PRIMARY = "primary"
+    READ = "read"
+    WRITE = "write"
     REPLICA = "replica"
 
 
@@ -46,6 +47,13 @@
     PRUNE = "prune"
 
 
+LANES = {
+    Stage.READ: Lane.READ,
+    Stage.KEY_LOOKUP: Lane.READ,
+    Stage.REPLICA_READ: Lane.REPLICA,
+}
+
+
 class Phase(enum.Enum):
     """Progress of a request."""
 
@@ -76,7 +84,8 @@
 class TargetRow:
     """Target of a group with the pool's share of its slots and connections.
 
-    `running` counts batches in progress, `opening` connections being opened. `held` and
+    `running` counts batches in progress, `reading` the reads among them, `opening` connections
+    being opened. `held` and
     `confirmed_at` belong to the group's term: the highest position that the target reported as
     matched, and the latest sending time (seconds) of a request that it answered in that term.
     """
@@ -87,6 +96,7 @@
     slots: int = 1
     connections: int = 1
     running: int = 0
+    reading: int = 0
     opening: int = 0
     open: dict[int, ConnectionRow] = attrs.field(factory=dict)
     idle: list[ConnectionRow] = attrs.field(factory=list)
@@ -228,7 +238,6 @@
     statement_class: str
     arrived: float
     deadline: float
-    lane: Lane
     stage: Stage
     phase: Phase = Phase.QUEUED
     max_age_s: float = 0.0
@@ -245,6 +254,11 @@
     below_watermark: bool = False
     retries: int = 0
 
+    @property
+    def lane(self) -> Lane:
+        """Kind of target and lock that the stage needs."""
+        return LANES.get(self.stage, Lane.WRITE)
+
     @property
     def is_write(self) -> bool:
         """Whether the request may change data."""
--- a/tests/pool/test_decisions.py
+++ b/tests/pool/test_decisions.py
@@ -49,14 +49,14 @@
 
 def test_minimum_share_under_overload(world: World) -> None:
     """Guards against low classes that get nothing while higher ones have work."""
-    queues = {c.name: QueueRow(attrs.evolve(c, min_share=0.1)) for c in CLASSES}
+    queues = [QueueRow(attrs.evolve(c, min_share=0.1)) for c in CLASSES]
     world.write(0, 0)
     request = next(iter(world.pools[0].requests.values()))
     served = []
-    for queue in queues.values():
+    for queue in queues:
         queue.live = 1000
     for _ in range(100):
-        for queue in queues.values():
+        for queue in queues:
             request.phase = Phase.QUEUED
             queue.waiting.append(request)
         chosen = admission.choose(queues)
@@ -275,3 +275,17 @@
     assert freshness.proved_age(group, 100 + 600, now) == pytest.approx(9.0)
     assert freshness.proved_age(group, 1598, now) == pytest.approx(0.02, abs=1e-6)
     assert freshness.proved_age(group, 99, now) is None
+
+
+def test_reads_pass_writes_that_wait_for_a_lock(world: World) -> None:
+    """Guards against an idle transaction that stops all reads of its group."""
+    begun = world.begin(0, 0)
+    world.run(0.1)
+    writes = [world.write(0, 1) for _ in range(4)]
+    read = world.read(0, 0)
+    world.run(0.2)
+    assert outcome(begun) is outcome(read) is Outcome.DONE
+    assert [outcome(write) for write in writes] == [None] * 4
+    world.in_transaction(begun, "commit")
+    world.run(0.3)
+    assert [outcome(write) for write in writes] == [Outcome.DONE] * 4
--- a/tests/pool/test_faults.py
+++ b/tests/pool/test_faults.py
@@ -10,7 +10,7 @@
 from siskindale.pool import answers
 from siskindale.pool.effects import RunBatch
 from siskindale.pool.systems import acknowledgement, completion, connections, freshness, intake
-from siskindale.pool.tables import Lane, RequestRow, Stage
+from siskindale.pool.tables import RequestRow, Stage
 from tests.pool.oracle import ViolationError
 from tests.pool.world import Flight, World
 
@@ -167,7 +167,7 @@
         repeated_key,
         intake,
         "_first_stage",
-        lambda tables, request, now: (Stage.WRITE, Lane.PRIMARY),
+        lambda tables, request, now: Stage.WRITE,
     ),
     "reuse-unclear-connections": (lost_statement_answer, connections, "close", _release),
 }
