Poll settled groups every 2 s and look for lost connections every 5 s

Cause: an idle pool of 3 groups used 22 ms of CPU time a second. Change: longer intervals where nothing waits. Figures, with other load on the machine: 22 ms/s before, 19 ms/s after. Conclusion: the rest is to be found by a profile.

--- a/siskindale/pool/program.py
+++ b/siskindale/pool/program.py
@@ -1,6 +1,7 @@
 """The pool as a service: messages and completions in, effects out, one tick for all of them."""
 
 import importlib
+import itertools
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -41,6 +42,8 @@
 
 DRAIN_POLL_S = 0.02
 HOUSEKEEPING_S = 1.0
+# Looking at 300 idle connections takes 3 ms.
+LOST_CONNECTIONS_EVERY = 5
 REQUESTS = (StatementRequest, BeginRequest, TransactionStatement, FinishRequest)
 
 
@@ -171,11 +174,12 @@
             self._report(BundleAdopted(bundle))
 
     def _keep_house(self) -> None:
-        while True:
+        for count in itertools.count(1):
             gevent.sleep(HOUSEKEEPING_S)
             metrics.collect(self._tables)
             self._parts.mailbox.close_idle()
-            self._find_lost_connections()
+            if count % LOST_CONNECTIONS_EVERY == 0:
+                self._find_lost_connections()
             served = self._tables.groups.values()
             self._workers.keep_controls(
                 [target.definition for group in served for target in group.targets.values()]
--- a/siskindale/pool/systems/discovery.py
+++ b/siskindale/pool/systems/discovery.py
@@ -19,7 +19,8 @@
     TimerKind,
 )
 
-POLL_SETTLED_S = 1.0
+# Controllers announce a new primary, and batches that take long shorten the interval.
+POLL_SETTLED_S = 2.0
 # While batches or confirmations take long, the primary may be lost.
 POLL_SUSPICIOUS_S = 0.25
 POLL_UNSETTLED_S = 0.05
