Answer unavailable for groups that only a newer bundle names

Cause: an entry adopts a bundle before a pool, and a request for a new database got 404. Change: such a request is refused as unavailable, which the entry tries elsewhere.

--- a/siskindale/pool/systems/intake.py
+++ b/siskindale/pool/systems/intake.py
@@ -77,9 +77,11 @@
         return RefusalKind.SHUTTING_DOWN, "the pool is shutting down"
     if tables.bundle is None:
         return RefusalKind.UNAVAILABLE, "the pool has no bundle yet"
+    known = tables.classes.get(body.statement_class)
+    if body.bundle_version > tables.bundle.version and not (known and body.group in tables.groups):
+        return RefusalKind.UNAVAILABLE, "the pool has not adopted the bundle of the request yet"
     if body.group not in tables.definitions:
         return RefusalKind.UNKNOWN_DATABASE, f"there is no database {body.group!r}"
-    known = tables.classes.get(body.statement_class)
     if known is None:
         return RefusalKind.MALFORMED, f"there is no class {body.statement_class!r}"
     if isinstance(body, StatementRequest) and body.access == "read":
--- a/tests/pool/test_decisions.py
+++ b/tests/pool/test_decisions.py
@@ -236,13 +236,14 @@
     assert outcome(read) is Outcome.DONE
 
 
-def test_key_faults(world: World) -> None:
-    """Guards against keys without a time, and forbidden repetition without a key."""
+def test_faulty_requests(world: World) -> None:
+    """Guards against keys without a time, and 404 for what a newer bundle has added."""
     body = world._statement(world.sessions[0], "write", "x", "WRITE", ("w", "x"))
     cases: dict[RefusalKind, StatementRequest] = {
         RefusalKind.MALFORMED: attrs.evolve(body, key="no-uuid"),
         RefusalKind.KEY_REQUIRED: attrs.evolve(body, statement_class="filings", request_id="y"),
         RefusalKind.UNKNOWN_DATABASE: attrs.evolve(body, group="other", request_id="z"),
+        RefusalKind.UNAVAILABLE: attrs.evolve(body, group="new", request_id="n", bundle_version=2),
     }
     for kind, case in cases.items():
         asked = Asked(world.sessions[0], "write", request_id=case.request_id)
