Measure the share of reads on replicas against an oracle and the simplest routings

Change: both deployments' mixes at four lags, an oracle over the whole history, round robin past the proxy in the same run.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -40,11 +40,14 @@
 STATUS_TIMEOUT_S = 0.5
 HTTP_TIMEOUT_S = 1.0
 
+# Age of data that browsing accepts.
+BROWSE_AGE_MS = 2000
+
 # The classes of both deployments of the design page, by kind of operation.
 CLASSES = (
     StatementClass("filings", Repeat.FORBIDDEN),
     StatementClass("revisions"),
-    StatementClass("browsing", max_age_ms=2000, min_share=0.2),
+    StatementClass("browsing", max_age_ms=BROWSE_AGE_MS, min_share=0.2),
 )
 CLASS_OF_KIND = {
     "browse": "browsing",
@@ -198,6 +201,7 @@
             slots=plan.slots,
             connections=plan.connections,
             connect_ms=plan.connect_ms,
+            spare_connections=plan.spare_connections,
             network_ms=plan.network_ms,
             ship_lag_ms=plan.ship_lag_ms,
             apply_lag_ms=plan.apply_lag_ms,
--- a/bench/commands.py
+++ b/bench/commands.py
@@ -1,5 +1,6 @@
 """Commands of bench that measure single quantities."""
 
+import itertools
 import platform
 import subprocess
 import sys
@@ -12,6 +13,7 @@
 import typer
 
 from bench import failover as failover_bench
+from bench import routing as routing_bench
 from bench import speed as speed_bench
 from bench.capacity import callers, model, node, page
 from bench.processes import ROOT
@@ -56,6 +58,28 @@
         out.write_bytes(msgspec.json.format(msgspec.json.encode(document)) + b"\n")
 
 
+@app.command()
+def routing(
+    seconds: Annotated[float, typer.Option(help="Length of the load at each lag.")] = 12.0,
+    out: Annotated[Path | None, typer.Option(help="File for the results as JSON.")] = None,
+) -> None:
+    """Measure the share of reads on replicas at four lags for both deployments' mixes."""
+    found = []
+    for name, lag in itertools.product(routing_bench.DEPLOYMENTS, routing_bench.LAGS_MS):
+        with tempfile.TemporaryDirectory(prefix="siskindale-routing-") as directory:
+            result = routing_bench.measure(name, lag, seconds, Path(directory))
+        found.append(result)
+        print(
+            f"{name}, lag {lag:g} ms: {result.share:.1%} of {result.reads} reads on replicas, "
+            f"{result.of_oracle:.1%} of the oracle's {result.eligible}; primary only: 0.0%; "
+            f"round robin: 100.0%, {result.round_robin_broken} of {result.round_robin_reads} "
+            "reads miss an own write",
+            flush=True,
+        )
+    if out is not None:
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(found)))
+
+
 @app.command()
 def slopes(
     out: Annotated[Path, typer.Option(help="File for the measurements.")] = page.MEASUREMENTS,
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -14,6 +14,7 @@
 from siskindale.transport.metrics import Purpose
 
 ADMIN_TIMEOUT_S = 5.0
+TARGET_FIELDS = ("slots", "connections", "connect_ms", "spare_connections")
 
 
 def post(address: Address, path: str, body: Any) -> Any:
@@ -133,11 +134,11 @@
         "dir": directory,
         "peers": ",".join(f"{t.name}={t.control}" for t in group.targets),
         "slots": target.slots,
-        "connections": target.connections,
+        "connections": target.connections + options.get("spare_connections", 0),
         "connect_ms": target.connect_ms,
         "initial_primary": group.targets[0].name,
         "voters": ",".join(group.voters),
-        **options,
+        **{key: value for key, value in options.items() if key not in TARGET_FIELDS},
     }
     return [text for key, value in values.items() for text in (_option(key), str(value))]
 
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -14,7 +14,9 @@
 class DeploymentPlan:
     """Targets and VMs; delays and lags are in milliseconds.
 
-    `domains` are the failure domains; targets and VMs are distributed over them in turn.
+    `spare_connections` are accepted by the targets beyond those that the bundle names, for
+    connections past the proxy. `domains` are the failure domains; targets and VMs are distributed
+    over them in turn.
     """
 
     name: str = "rodopi"
@@ -25,6 +27,7 @@
     slots: int = 2
     connections: int = 16
     connect_ms: int = 10
+    spare_connections: int = 0
     network_ms: float = 0.0
     ship_lag_ms: float = 5.0
     apply_lag_ms: float = 10.0
--- a/bench/run.py
+++ b/bench/run.py
@@ -2,7 +2,7 @@
 
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import attrs
@@ -39,12 +39,19 @@
     start_at: float
 
 
-def run_experiment(experiment: Experiment, directory: Path) -> Run:
-    """Runs an experiment; its files, logs included, stay in `directory`."""
+def run_experiment(
+    experiment: Experiment, directory: Path, beside: Callable[[Cluster], None] | None = None
+) -> Run:
+    """Runs an experiment; its files, logs included, stay in `directory`.
+
+    `beside` is called when the deployment is up; it may start greenlets that run with the load.
+    """
     directory.mkdir(parents=True, exist_ok=True)
     with Processes(directory) as processes:
         cluster = Cluster(experiment.deployment, processes, directory)
         cluster.start()
+        if beside is not None:
+            beside(cluster)
         run = _Run(experiment, directory, cluster)
         finished = run.run()
     write_results(finished.results, directory / "results.json")
