Refuse a directory that holds another run

A second fuzz run into the same directory reported hundreds of violations: the targets had started with the data of the first run, whose uids were the same.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -113,6 +113,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, _interrupt)
     started = time.monotonic()
+    if directory is not None and directory.exists() and any(directory.iterdir()):
+        # Targets of an earlier run would start with its data, which the checks take for errors.
+        print(f"bench: error: {directory} is not empty", file=sys.stderr)
+        raise typer.Exit(2)
     try:
         if directory is None:
             with tempfile.TemporaryDirectory(prefix="siskindale-bench-") as temporary:
--- a/tests/bench/test_demo.py
+++ b/tests/bench/test_demo.py
@@ -49,3 +49,12 @@
     if number is not signal.SIGKILL:
         assert demo.returncode == 1
         assert list(tmp_path.iterdir()) == []
+
+
+def test_directory_of_another_run_is_refused(tmp_path: Path) -> None:
+    """Guards against targets that start with the data of an earlier run."""
+    (tmp_path / "caves-caves-a.sqlite").touch()
+    command = [sys.executable, "-m", "bench", "demo", "--keep", str(tmp_path)]
+    run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    assert run.returncode == 2
+    assert "is not empty" in run.stderr
