--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -6,6 +6,7 @@
 
 import attrs
 import msgspec
+from returns.result import Failure
 
 from bench.processes import Process, Processes, free_ports
 from siskindale.models.bundle import Group, Target
@@ -17,10 +18,16 @@
 
 
 def post(address: Address, path: str, body: Any) -> Any:
-    """Posts JSON to the administration of a stand-in; raises unless it succeeds."""
+    """Posts JSON to the administration of a stand-in.
+
+    Raises `ConnectionError` if the stand-in does not respond, `RuntimeError` if it refuses.
+    """
     client = HttpClient(address, {"Content-Type": "application/json"}, Purpose.CONTROL)
-    response = client.request("POST", path, msgspec.json.encode(body), ADMIN_TIMEOUT_S).unwrap()
+    answer = client.request("POST", path, msgspec.json.encode(body), ADMIN_TIMEOUT_S)
     client.close()
+    if isinstance(answer, Failure):
+        raise ConnectionError(f"{address}{path}: {answer.failure().detail}")
+    response = answer.unwrap()
     if response.status != 200:
         raise RuntimeError(f"{path}: status {response.status}: {response.body!r}")
     return msgspec.json.decode(response.body)
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -1,5 +1,6 @@
 """Faults of an experiment: a registry of actions, and schedules from a file or a seed."""
 
+import contextlib
 import signal
 import time
 from collections.abc import Callable, Iterator
@@ -23,6 +24,7 @@
 
 # Requests in flight when a VM is stopped; each occupies one of two slots of a target.
 SLOW_MS = 200.0
+HEAL_ATTEMPTS = 3
 # Time without faults at the end of a random schedule.
 HEALED_S = 4.0
 SLOW_KINDS = ("strict", "write", "keyed", "browse", "strict", "write")
@@ -44,9 +46,12 @@
         gevent.joinall(greenlets, raise_error=True)
 
     def apply(self, action: str, options: Options) -> None:
-        """Runs one action now."""
+        """Runs one action now; one on a target that does not respond has no effect."""
         at = time.monotonic()
-        found = ACTIONS.get(action)(self, options)
+        try:
+            found = ACTIONS.get(action)(self, options)
+        except ConnectionError as error:
+            found = {"failed": str(error)}
         self.record.append(FaultEvent(found.pop("at", at), action, options, found))
 
     def heal(self) -> None:
@@ -59,16 +64,25 @@
             process.signal(signal.SIGCONT)
         for group in cluster.groups.values():
             for target in group.group.targets:
-                self.revive(group, target.name)
+                self._heal_target(group, target.name)
+
+    def _heal_target(self, group: GroupStandin, name: str) -> None:
+        """Heals a target; again if a fault of the schedule hit it at the same time."""
+        for _ in range(HEAL_ATTEMPTS):
+            group.process(name).signal(signal.SIGCONT)
+            self.revive(group, name)
+            with contextlib.suppress(ConnectionError):
                 group.faults(
-                    target.name,
+                    name,
                     delay_ms=0,
                     lose_next_answers=0,
                     cut_from=[],
                     cut_mode="drop",
-                    ship_lag_ms=cluster.plan.ship_lag_ms,
-                    apply_lag_ms=cluster.plan.apply_lag_ms,
+                    ship_lag_ms=self.cluster.plan.ship_lag_ms,
+                    apply_lag_ms=self.cluster.plan.apply_lag_ms,
                 )
+                return
+        raise RuntimeError(f"{name} does not respond")
 
     def group_of(self, options: Options) -> GroupStandin:
         """Returns the group that the options name by `database`."""
