Serve the status of every program and use the common settings checks

siskindale status asks all programs, but only the entry answered. The skeleton now serves the common part for each, and a service adds its own fields. The entry's own settings checks are replaced by the ones of config/checks.py, which gain a check of driver names.

--- a/siskindale/config/checks.py
+++ b/siskindale/config/checks.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from siskindale.config import bundle_rules, change_rules, settings_rules
+from siskindale.config import bundle_rules, change_rules, driver_rules, settings_rules
 from siskindale.config.findings import Finding
 from siskindale.config.loader import load_bundle, load_settings
 from siskindale.config.rules import BUNDLE_CHECKS, CHANGE_CHECKS, SETTINGS_CHECKS, Problem
@@ -18,7 +18,7 @@
 from siskindale.registry import Registry
 
 # Importing the modules fills the registries.
-RULES = (settings_rules, bundle_rules, change_rules)
+RULES = (settings_rules, driver_rules, bundle_rules, change_rules)
 
 Findings = tuple[Finding, ...]
 
--- a/siskindale/entry/program.py
+++ b/siskindale/entry/program.py
@@ -10,9 +10,7 @@
 from siskindale.entry.routes import DirectoryRoutes
 from siskindale.entry.server import CallerServer
 from siskindale.runtime.health import Report
-from siskindale.runtime.program import Parts
-
-STATUS_PATH = "/v1/operators/status"
+from siskindale.runtime.program import STATUS_PATH, Parts
 
 
 class EntryService:
@@ -59,18 +57,8 @@
         self._server.drain()
 
     def status(self) -> dict[str, Any]:
-        """Returns what this entry knows, for `siskindale status`."""
-        parts, bundle = self._parts, self._parts.bundles.current
+        """Returns what `siskindale status` shows of an entry beyond the common part."""
         return {
-            "vm": parts.settings.vm,
-            "program": str(parts.kind),
-            "boot": parts.mailbox.boot,
-            "bundle_version": bundle.version if bundle else 0,
-            "bundle_digest": parts.bundles.digest,
-            "degraded": parts.bundles.degraded,
-            "draining": parts.shutdown.draining,
-            "members": sorted(member.vm for member in parts.directory.members),
-            "leaving": sorted(parts.directory.leaving),
             "avoided_pools": self._dispatcher.avoided_pools,
             "pending_requests": self._dispatcher.pending_count,
             "connections": self._server.connection_count,
--- a/siskindale/runtime/commands.py
+++ b/siskindale/runtime/commands.py
@@ -9,8 +9,7 @@
 from returns.result import Success
 
 from siskindale import __version__
-from siskindale.config import settings_checks
-from siskindale.config.loader import load_settings
+from siskindale.config.checks import check_settings_file, load_checked_settings
 from siskindale.context import Environment
 from siskindale.exits import ExitStatus
 from siskindale.models.settings import Settings
@@ -78,19 +77,14 @@
     @app.command("check-settings")
     def check_settings(context: typer.Context, file: Path) -> ExitStatus:
         """Check a settings file and print every finding."""
-        return _with_settings(file, context.obj, lambda _, __: ExitStatus.SUCCESS)
+        return check_settings_file(file, context.obj)
 
     return app
 
 
 def _with_settings(path: Path, env: Environment, serve: Serve) -> ExitStatus:
-    loaded = load_settings(path)
-    if not isinstance(loaded, Success):
-        print_errors(env, loaded.failure())
-        return ExitStatus.INVALID_INPUT
-    settings = loaded.unwrap()
-    findings = settings_checks.check(settings)
-    if findings:
-        print_errors(env, (f"{path}: {finding}" for finding in findings))
-        return ExitStatus.INVALID_INPUT
-    return serve(settings, env)
+    loaded = load_checked_settings(path)
+    if isinstance(loaded, Success):
+        return serve(loaded.unwrap(), env)
+    print_errors(env, loaded.failure())
+    return ExitStatus.INVALID_INPUT
--- a/siskindale/runtime/program.py
+++ b/siskindale/runtime/program.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Callable, Mapping, Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 import gevent
@@ -31,6 +31,7 @@
 
 # Sockets send in the background: messages queued just before the exit need this time to leave.
 FLUSH_S = 0.2
+STATUS_PATH = "/v1/operators/status"
 
 
 class Kind(enum.StrEnum):
@@ -160,10 +161,33 @@
     return reasons
 
 
+def status(parts: Parts) -> dict[str, Any]:
+    """Returns what `siskindale status` shows of every program."""
+    bundle = parts.bundles.current
+    return {
+        "vm": parts.settings.vm,
+        "program": str(parts.kind),
+        "boot": parts.mailbox.boot,
+        "bundle_version": bundle.version if bundle else 0,
+        "bundle_digest": parts.bundles.digest,
+        "degraded": parts.bundles.degraded,
+        "draining": parts.shutdown.draining,
+        "members": sorted(member.vm for member in parts.directory.members),
+        "leaving": sorted(parts.directory.leaving),
+    }
+
+
+def reports(parts: Parts, service: Service) -> dict[str, Report]:
+    """Returns the reports of a service; its own status is added to the common one."""
+    own = dict(service.reports)
+    added = own.pop(STATUS_PATH, dict)
+    return {**own, STATUS_PATH: lambda: {**status(parts), **added()}}
+
+
 def _run(parts: Parts, build: Build) -> ExitStatus:
     service = build(parts)
     health = health_server(
-        parts.section.health, lambda: readiness(parts, service), reports=service.reports
+        parts.section.health, lambda: readiness(parts, service), reports=reports(parts, service)
     )
     _start(parts, service, health)
     parts.shutdown.wait()
