Require a writable group after every repair in the promotion machine

The machine checked safety only: a rule that stops all promotions would have passed. Each example now ends with a repair of all faults, after which a write must be acknowledged within 16 s of virtual time. Uses the shared fake platform in place of an own fake table service.

--- a/tests/fakes/controllers.py
+++ b/tests/fakes/controllers.py
@@ -24,7 +24,7 @@
 from siskindale.platform.interface import PlatformError, PlatformFailure
 from siskindale.targets.interface import TargetError, TargetFailure
 from tests.fakes.group import FakeGroup, target
-from tests.fakes.tables import FakeTables
+from tests.fakes.platform import FakePlatform
 
 NAME = "g"
 STEP_S = 0.01
@@ -63,7 +63,7 @@
 
     def __init__(self, targets: str = "abc", controllers: int = 3, seed: int = 0) -> None:
         self.group = FakeGroup(tuple(targets))
-        self.store = FakeTables()
+        self.store = FakePlatform()
         self.bundle = Group(NAME, tuple(target(n) for n in targets))
         self.seed = seed
         self.started_terms: list[int] = []
@@ -163,7 +163,7 @@
         unknown = PlatformError(PlatformFailure.UNKNOWN, "lost")
         done = self.store.commit([call.condition], [call.write]) if sent else Failure(unknown)
         failure = None if isinstance(done, Success) else done.failure().kind
-        if not answered and self.store.up:
+        if not answered and not self.store.faults.tables_down:
             failure = PlatformFailure.UNKNOWN
         return terms.on_commit(own.tables, call, failure, self.now)
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -92,7 +92,7 @@
 
 def test_promotion_and_renewal_with_the_store_down(world: World) -> None:
     """Guards against a failover that needs the store, and against terms that are never renewed."""
-    world.store.up = False
+    world.store.faults.tables_down = True
     old = primary(world)
     world.group.crash(old)
     world.run(1.0)
@@ -101,7 +101,7 @@
     top = world.group.status(primary(world)).term
     before = {vm: list(c.tables.terms["g"].terms) for vm, c in world.controllers.items()}
     assert min(len(t) for t in before.values()) < 2
-    world.store.up = True
+    world.store.faults.tables_down = False
     world.run(2.0)
     held = [c.tables.terms["g"].terms for c in world.controllers.values()]
     assert all(len(terms) == 2 and min(terms) > top for terms in held)
--- a/tests/test_promotion_machine.py
+++ b/tests/test_promotion_machine.py
@@ -24,6 +24,9 @@
 STEPS = int(os.environ.get("SISKINDALE_STEPS", "80"))
 SEED = int(os.environ.get("SISKINDALE_SEED", "1"))
 
+# A promotion that fails at once, the minimum interval, and a second promotion.
+RECOVERY_S = 16.0
+
 VMS = st.sampled_from(("x0", "x1", "x2"))
 TARGETS = st.sampled_from("abcdy")
 SOME = st.sets(TARGETS, min_size=2)
@@ -116,9 +119,9 @@
             if not target.up:
                 self.world.group.restart(name)
 
-    @rule(up=st.booleans())
-    def store(self, up: bool) -> None:
-        self.world.store.up = up
+    @rule(down=st.booleans())
+    def store(self, down: bool) -> None:
+        self.world.store.faults.tables_down = down
 
     @rule(name=TARGETS, state=st.sampled_from(TargetState))
     def change_bundle(self, name: str, state: TargetState) -> None:
@@ -129,6 +132,21 @@
         if hasattr(self, "scenario"):
             self.scenario.oracle.check()
 
+    def teardown(self) -> None:
+        """Guards against faults after which a repaired group stays without a writable primary."""
+        if not hasattr(self, "scenario"):
+            return
+        self.repair()
+        self.store(down=False)
+        for controller in self.world.controllers.values():
+            controller.row.attempts.clear()
+        self.world.run(RECOVERY_S, step=0.1)
+        before = len(self.scenario.writer.acknowledged)
+        self.scenario.writer.write(self.world.group.primaries()[-1].name)
+        self.replicate(set(self.world.group.targets))
+        self.scenario.oracle.check()
+        assert len(self.scenario.writer.acknowledged) > before, "no write after the repair"
+
 
 def explore(machine: type[PromotionMachine], examples: int, steps: int, shrink: bool) -> None:
     phases = (Phase.generate, Phase.shrink) if shrink else (Phase.generate,)
