--- a/siskindale/controller/systems/detection.py
+++ b/siskindale/controller/systems/detection.py
@@ -11,6 +11,8 @@
 ASK_INTERVAL_S = 0.05
 # Two missed answers in a row, so that one lost message does not make a peer unreachable.
 SIGHT_VALID_S = 0.2
+# A confirmation and the delays by rank take less; what takes longer is reported.
+HELD_BACK_S = 1.0
 
 
 def run(tables: Tables, now: float) -> list[Effect]:
@@ -89,9 +91,7 @@
 def _group(tables: Tables, row: GroupRow, now: float) -> list[Effect]:
     reason = loss(tables, row, now)
     if not reason or row.name in tables.promotions:
-        row.lost_since = None
-        row.sights.clear()
-        return []
+        return _forget(row, found=not reason)
     effects: list[Effect] = []
     if row.lost_since is None:
         row.lost_since = row.asking_since = now
@@ -100,6 +100,24 @@
     return effects + _promote(tables, row, reason, now)
 
 
+def _forget(row: GroupRow, found: bool) -> list[Effect]:
+    """Ends a loss; one that ended without an own promotion is recorded."""
+    lost, row.lost_since = row.lost_since is not None, None
+    row.sights.clear()
+    if not lost or not found:
+        return []
+    row.reported = ""
+    fields = {"term": row.top_term, "primary": views.primary_name(row)}
+    return [Record("loss-ended", row.name, fields)]
+
+
+def _hold_back(row: GroupRow, why: str, since: float, now: float) -> list[Effect]:
+    if row.reported == why or now - since < HELD_BACK_S:
+        return []
+    row.reported = why
+    return [Record("promotion-held-back", row.name, {"term": row.top_term, "reason": why})]
+
+
 def _lost(row: GroupRow, reason: str) -> Record:
     fields = {"term": row.top_term, "primary": views.primary_name(row), "reason": reason}
     return Record("primary-lost", row.name, fields)
@@ -118,8 +136,9 @@
 def _promote(tables: Tables, row: GroupRow, reason: str, now: float) -> list[Effect]:
     since = now if row.lost_since is None else row.lost_since
     confirmed = confirmation(tables, row, now)
-    if not confirmed or not limits.may_promote(tables, row, since, now):
-        return []
+    why = limits.hindrance(tables, row, since, now) if confirmed else "nobody confirms the loss"
+    if why:
+        return _hold_back(row, why, since, now)
     planned = PromotionRow(
         group=row.name,
         term=0,
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -53,6 +53,11 @@
     world.run(5.0)
     assert events(world, "primary-lost")
     assert started(world) == 1
+    held_back = events(world, "promotion-held-back")
+    assert [e["reason"] for e in held_back] == ["nobody confirms the loss"]
+    world.group.heal()
+    world.run(0.5)
+    assert len(events(world, "loss-ended")) == 1
 
 
 def test_replicas_confirm_when_no_controller_answers(world: World) -> None:
--- a/tests/test_promotion_machine.py
+++ b/tests/test_promotion_machine.py
@@ -171,5 +171,5 @@
 def test_machine_finds(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a machine whose steps never reach a state in which a broken rule matters."""
     monkeypatch.setattr(*FAULTS[fault])
-    with pytest.raises(AssertionError):
+    with pytest.raises(AssertionError, match="missing|two primaries|after term"):
         explore(PromotionMachine, 500, STEPS, shrink=False)
