--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -53,6 +53,11 @@
     world.run(5.0)
     assert events(world, "primary-lost")
     assert started(world) == 1
+    held_back = events(world, "promotion-held-back")
+    assert [e["reason"] for e in held_back] == ["nobody confirms the loss"]
+    world.group.heal()
+    world.run(0.5)
+    assert len(events(world, "loss-ended")) == 1
 
 
 def test_replicas_confirm_when_no_controller_answers(world: World) -> None:
@@ -92,7 +97,7 @@
 
 def test_promotion_and_renewal_with_the_store_down(world: World) -> None:
     """Guards against a failover that needs the store, and against terms that are never renewed."""
-    world.store.up = False
+    world.store.faults.tables_down = True
     old = primary(world)
     world.group.crash(old)
     world.run(1.0)
@@ -101,7 +106,7 @@
     top = world.group.status(primary(world)).term
     before = {vm: list(c.tables.terms["g"].terms) for vm, c in world.controllers.items()}
     assert min(len(t) for t in before.values()) < 2
-    world.store.up = True
+    world.store.faults.tables_down = False
     world.run(2.0)
     held = [c.tables.terms["g"].terms for c in world.controllers.values()]
     assert all(len(terms) == 2 and min(terms) > top for terms in held)
