--- a/siskindale/bundles/rolling.py
+++ b/siskindale/bundles/rolling.py
@@ -140,6 +140,7 @@
             return refusal
         if self._retried(self._store_body) is None:
             return self._out_of_time()
+        self._store_delta(before.head)
         return self._advance(before)
 
     def _refusal(self, before: HeadRow) -> NotAccepted | None:
@@ -166,21 +167,20 @@
         missing = PlatformError(PlatformFailure.UNAVAILABLE, "the stored body cannot be read back")
         return found if isinstance(found, Failure) else Failure(missing)
 
-    def _store_delta(self, before: Head) -> str:
-        """Stores the delta and returns its digest; without one programs read the whole body."""
+    def _store_delta(self, before: Head) -> None:
+        """Stores a delta from the body before; without one, programs read the whole body."""
         if not before.version:
-            return ""
-        previous = self._platform.objects.get(before.digest).value_or(None)
+            return
+        previous = read_body(self._platform, before).value_or(None)
         if previous is None:
-            return ""
-        change = delta.encode(previous, self._content)
-        digest = digest_of(change)
-        stored = self._platform.objects.put(digest, change)
-        return digest if isinstance(stored, Success) else ""
+            return
+        content = delta.encode(previous, self._content)
+        digest = digest_of(content)
+        if isinstance(self._platform.objects.put(digest, content), Success):
+            self._head = attrs.evolve(self._head, delta=digest)
 
     def _advance(self, before: HeadRow) -> Outcome:
         row = self._audit_row(before)
-        self._head = attrs.evolve(self._head, delta=self._store_delta(before.head))
         for _ in self._attempts():
             committed = self._commit(before, row)
             if isinstance(committed, Success):
