List differences of bundles by field

to_builtins keeps tuples, which the comparison took for plain values, so that one changed share printed all classes. Entries of lists are now compared by name; a test covers it. `show` names only signers whose signature is valid.

--- a/siskindale/cli/bundles.py
+++ b/siskindale/cli/bundles.py
@@ -115,7 +115,9 @@
     if full:
         session.write(drafts.to_text(signed))
     else:
-        session.show(_summary(signed, head, rolling.read_audit(store.platform, head.version)))
+        signers = signing.valid_signers(signed, store.settings.trust)
+        row = rolling.read_audit(store.platform, head.version)
+        session.show(_summary(signed, signers, head, row))
     return ExitStatus.SUCCESS
 
 
@@ -143,13 +145,15 @@
     )
 
 
-def _summary(signed: SignedBundle, head: Head, row: AuditRow | None) -> Listing:
+def _summary(
+    signed: SignedBundle, signers: tuple[str, ...], head: Head, row: AuditRow | None
+) -> Listing:
     bundle = signed.bundle
     columns = ("version", "digest", "signers", "operator", "at", "groups", "targets", "callers")
     values = (
         bundle.version,
         head.digest,
-        tuple(s.signer for s in signed.signatures),
+        signers,
         row.operator if row else None,
         _time(row.at) if row else None,
         len(bundle.groups),
--- a/siskindale/cli/drafts.py
+++ b/siskindale/cli/drafts.py
@@ -77,7 +77,7 @@
     if isinstance(value, dict):
         for name, inner in value.items():
             yield from _flat(inner, f"{path}.{name}")
-    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+    elif isinstance(value, list | tuple) and any(isinstance(item, dict) for item in value):
         for index, item in enumerate(value):
             yield from _flat(item, f"{path}[{item.get('name', index)}]")
         yield f"{path} order", [item.get("name", index) for index, item in enumerate(value)]
--- a/siskindale/output/listing.py
+++ b/siskindale/output/listing.py
@@ -44,7 +44,7 @@
 
 
 def _text(value: Any) -> str:
-    if value is None or value == ():
+    if value is None or value in ((), ""):
         return "-"
     if isinstance(value, bool):
         return "yes" if value else "no"
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -3,9 +3,11 @@
 import json
 from pathlib import Path
 
+import attrs
 import pytest
 
 from siskindale.bundles import audit
+from siskindale.cli import drafts
 from siskindale.models.settings import Address
 from siskindale.platform.interface import Write
 from siskindale.runtime.health import health_server
@@ -35,6 +37,23 @@
     assert operator.on("audit", "--verify") == 0
 
 
+def test_diff_names_entries_and_fields(operator: Operator) -> None:
+    """Guards against a difference that shows whole lists, or hides removed entries."""
+    before = operator.draft("before")
+    group = drafts.first_draft().groups[0]
+    first, *rest = group.targets
+    targets = (attrs.evolve(first, slots=4), rest[0])
+    after = operator.draft("after", groups=(attrs.evolve(group, targets=targets),))
+    assert operator.run("bundle", "diff", after, before, "--json") == 0
+    changes = {row["path"]: row["after"] for row in json.loads(operator.stdout)}
+    path = "$.groups[example].targets"
+    assert changes[f"{path}[example-1].slots"] == 4
+    assert changes[f"{path} order"] == ["example-1", "example-2"]
+    assert changes[f"{path}[example-3].name"] is None
+    assert operator.run("bundle", "diff", before, before) == 0
+    assert operator.stdout == "no difference\n"
+
+
 def test_bundle_that_cannot_work_is_not_signed(operator: Operator) -> None:
     """Guards against a signature under a bundle that would fail in effect."""
     draft, out = operator.draft("draft", retry_budget=3.0, pools_per_group=0), operator.path("out")
