--- a/bench/commands.py
+++ b/bench/commands.py
@@ -1,5 +1,6 @@
 """Commands of bench that measure single quantities."""
 
+import itertools
 import platform
 import subprocess
 import sys
@@ -12,6 +13,8 @@
 import typer
 
 from bench import failover as failover_bench
+from bench import propagation as propagation_bench
+from bench import routing as routing_bench
 from bench import speed as speed_bench
 from bench.capacity import callers, model, node, page
 from bench.processes import ROOT
@@ -56,6 +59,28 @@
         out.write_bytes(msgspec.json.format(msgspec.json.encode(document)) + b"\n")
 
 
+@app.command()
+def routing(
+    seconds: Annotated[float, typer.Option(help="Length of the load at each lag.")] = 12.0,
+    out: Annotated[Path | None, typer.Option(help="File for the results as JSON.")] = None,
+) -> None:
+    """Measure the share of reads on replicas at four lags for both deployments' mixes."""
+    found = []
+    for name, lag in itertools.product(routing_bench.DEPLOYMENTS, routing_bench.LAGS_MS):
+        with tempfile.TemporaryDirectory(prefix="siskindale-routing-") as directory:
+            result = routing_bench.measure(name, lag, seconds, Path(directory))
+        found.append(result)
+        print(
+            f"{name}, lag {lag:g} ms: {result.share:.1%} of {result.reads} reads on replicas, "
+            f"{result.of_oracle:.1%} of the oracle's {result.eligible}; primary only: 0.0%; "
+            f"round robin: 100.0%, {result.round_robin_broken} of {result.round_robin_reads} "
+            "reads miss an own write",
+            flush=True,
+        )
+    if out is not None:
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(found)))
+
+
 @app.command()
 def slopes(
     out: Annotated[Path, typer.Option(help="File for the measurements.")] = page.MEASUREMENTS,
@@ -97,6 +122,27 @@
     page.PAGE.write_text(page.updated(page.PAGE.read_text(), measured))
 
 
+@app.command()
+def propagation(
+    rolls: Annotated[int, typer.Option(help="Rolls under each condition.", min=1)] = 10,
+) -> None:
+    """Measure the time from the acceptance of a bundle to the last of 21 programs.
+
+    Exits with 1 if a roll took more than 8 s.
+
+    Example: python -m bench propagation --rolls 10
+    """
+    with tempfile.TemporaryDirectory(prefix="siskindale-propagation-") as directory:
+        found = propagation_bench.measure(Path(directory), rolls)
+    for item in found:
+        print(
+            f"{item.condition}: {len(item.last_s)} rolls to {item.programs} programs:"
+            f" median {item.median_s:.2f} s, maximum {item.max_s:.2f} s"
+        )
+    if max(item.max_s for item in found) > propagation_bench.BOUND_S:
+        raise typer.Exit(1)
+
+
 def _node(vms: int, groups: int, interval: int, seconds: float, directory: Path) -> node.NodeCost:
     found = node.measure(vms, groups, seconds, 3, directory, interval)
     _progress(f"node {vms}/{groups} at {interval} ms", found)
