Do not take up ended requests of a later term again

Change: requests of later terms are filtered as those of the own term are. Conclusion: a unit test fails before and passes after.

--- a/siskindale/pool/systems/acknowledgement.py
+++ b/siskindale/pool/systems/acknowledgement.py
@@ -95,10 +95,15 @@
 
 
 def superseded(group: GroupRow) -> list[RequestRow]:
-    """Removes and returns everything that waits for confirmation in the group's term."""
+    """Removes and returns everything that waits for confirmation in this term or a later one.
+
+    Requests that have ended meanwhile, at their deadline, must not be taken up again.
+    """
     waiting = [entry[2] for entry in chain(group.by_since, group.by_position)]
+    waiting += group.later_terms
     group.by_since.clear()
     group.by_position.clear()
+    group.later_terms.clear()
     group.highest_pending = -1
     return [request for request in waiting if request.phase is Phase.CONFIRMING]
 
--- a/siskindale/pool/systems/discovery.py
+++ b/siskindale/pool/systems/discovery.py
@@ -264,6 +264,4 @@
     group.sampling = None
     for each in group.targets.values():
         each.held, each.confirmed_at, each.applied = -1, -1.0, -1
-    ended = acknowledgement.superseded(group) + group.later_terms
-    group.later_terms = []
-    return ended
+    return acknowledgement.superseded(group)
--- a/tests/pool/test_decisions.py
+++ b/tests/pool/test_decisions.py
@@ -290,3 +290,15 @@
     world.in_transaction(begun, "commit")
     world.run(0.3)
     assert [outcome(write) for write in writes] == [Outcome.DONE] * 4
+
+
+def test_ended_request_of_a_later_term_stays_ended(world: World) -> None:
+    """Guards against a second answer after the deadline passed in an unknown term."""
+    world.write(0, 0)
+    request = next(iter(world.pools[0].requests.values()))
+    group = world.pools[0].groups["g"]
+    group.later_terms.append(request)
+    world.advance(2.5)
+    assert request.phase is Phase.ENDED
+    assert acknowledgement.superseded(group) == []
+    assert not group.later_terms
