--- a/siskindale/bundles/following.py
+++ b/siskindale/bundles/following.py
@@ -27,8 +27,9 @@
 HEAD_TABLE = "bundle_head"
 HEAD_KEY = "head"
 
-# One burst of connections stays small on a node; receivers pass a new head on.
-NOTICE_PEERS = 64
+# Controllers that are told of a new head by each controller. 16 reach 770 of them in three steps;
+# a controller that none of 16 chooses on average (1 in 10 million) finds the head by its poll.
+NOTICE_PEERS = 16
 CONFIRMATION_PEERS = 2
 POLL_JITTER = 0.1
 REQUEST_LIMIT_S = 10.0
@@ -228,7 +229,7 @@
         self._bundle, self._body = bundle, content
         metrics.VERSION.set(bundle.version)
         logger().info("bundle-adopted", version=head.version, digest=head.digest)
-        self._notify(self._sample(self._peers(), NOTICE_PEERS))
+        self._notify(self._told_of_a_new_head())
         for listener in self._listeners:
             self._call(listener, bundle)
         return True
@@ -300,6 +301,18 @@
             self._requests[correlation] = now
             self._mailbox.send(url, HeadRequest(), correlation)
 
+    def _told_of_a_new_head(self) -> list[str]:
+        """Returns the VM's other programs; a controller adds controllers of other VMs.
+
+        If every program told programs of all VMs, a node would send three times as many notices.
+        """
+        own = self._directory.own
+        urls = [url for url in own.inboxes if url != self._mailbox.url]
+        if self._relay is not None:
+            return urls
+        others = [m.controller.inbox_url for m in self._directory.members if m.vm != own.vm]
+        return urls + self._sample(others, NOTICE_PEERS)
+
     def _peers(self) -> list[str]:
         return [url for url in self._directory.peers if url != self._mailbox.url]
 
