--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -6,6 +6,7 @@
 
 import attrs
 import msgspec
+from returns.result import Failure
 
 from bench.processes import Process, Processes, free_ports
 from siskindale.models.bundle import Group, Target
@@ -14,13 +15,20 @@
 from siskindale.transport.metrics import Purpose
 
 ADMIN_TIMEOUT_S = 5.0
+TARGET_FIELDS = ("slots", "connections", "connect_ms", "spare_connections")
 
 
 def post(address: Address, path: str, body: Any) -> Any:
-    """Posts JSON to the administration of a stand-in; raises unless it succeeds."""
+    """Posts JSON to the administration of a stand-in.
+
+    Raises `ConnectionError` if the stand-in does not respond, `RuntimeError` if it refuses.
+    """
     client = HttpClient(address, {"Content-Type": "application/json"}, Purpose.CONTROL)
-    response = client.request("POST", path, msgspec.json.encode(body), ADMIN_TIMEOUT_S).unwrap()
+    answer = client.request("POST", path, msgspec.json.encode(body), ADMIN_TIMEOUT_S)
     client.close()
+    if isinstance(answer, Failure):
+        raise ConnectionError(f"{address}{path}: {answer.failure().detail}")
+    response = answer.unwrap()
     if response.status != 200:
         raise RuntimeError(f"{path}: status {response.status}: {response.body!r}")
     return msgspec.json.decode(response.body)
@@ -133,11 +141,11 @@
         "dir": directory,
         "peers": ",".join(f"{t.name}={t.control}" for t in group.targets),
         "slots": target.slots,
-        "connections": target.connections,
+        "connections": target.connections + options.get("spare_connections", 0),
         "connect_ms": target.connect_ms,
         "initial_primary": group.targets[0].name,
         "voters": ",".join(group.voters),
-        **options,
+        **{key: value for key, value in options.items() if key not in TARGET_FIELDS},
     }
     return [text for key, value in values.items() for text in (_option(key), str(value))]
 
--- a/siskindale/runtime/commands.py
+++ b/siskindale/runtime/commands.py
@@ -84,8 +84,7 @@
 
 def _with_settings(path: Path, env: Environment, serve: Serve) -> ExitStatus:
     loaded = load_checked_settings(path)
-    if not isinstance(loaded, Success):
-        print_errors(env, loaded.failure())
-        return ExitStatus.INVALID_INPUT
-    settings = loaded.unwrap()
-    return serve(settings, env)
+    if isinstance(loaded, Success):
+        return serve(loaded.unwrap(), env)
+    print_errors(env, loaded.failure())
+    return ExitStatus.INVALID_INPUT
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -74,6 +74,19 @@
     assert "$.pool.inbox: address '127.0.0.1:20001' is already used at $.entry.inbox" in errors
 
 
+def test_unknown_driver_is_a_finding(tmp_path: Path) -> None:
+    """Guards against a traceback for a driver that does not exist."""
+    bad = write(
+        tmp_path / "settings.json",
+        platform=SETTINGS["platform"] | {"driver": "htpp"},
+        pool=SETTINGS["pool"] | {"target_driver": "grpc"},
+    )
+    status, _, errors = call("--settings", bad)
+    assert status == ExitStatus.INVALID_INPUT
+    assert "$.platform.driver: unknown driver 'htpp'; did you mean 'http'?" in errors
+    assert "$.pool.target_driver: unknown driver 'grpc'; known: http" in errors
+
+
 @pytest.mark.parametrize("args", [[], ["--sttings", "x"], ["check-settings"], ["--settings", "/x"]])
 def test_wrong_command_line_is_one_line(args: list[str]) -> None:
     """Guards against a traceback for a mistyped command line."""
