--- a/bench/faults.py
+++ b/bench/faults.py
@@ -71,7 +71,8 @@
         for _ in range(HEAL_ATTEMPTS):
             group.process(name).signal(signal.SIGCONT)
             self.revive(group, name)
-            with contextlib.suppress(ConnectionError):
+            with contextlib.suppress(ConnectionError, TimeoutError):
+                group.processes.wait_accepting(name, group.target(name).control)
                 group.faults(
                     name,
                     delay_ms=0,
