Compare orders of statements within a class at two slots

Change: a simulation with equal arrivals for each policy (90 % short, 7 % medium, 3 % long statements). To be tried in the pool.

--- a/bench/commands.py
+++ b/bench/commands.py
@@ -13,6 +13,7 @@
 import typer
 
 from bench import failover as failover_bench
+from bench import ordering as ordering_bench
 from bench import propagation as propagation_bench
 from bench import routing as routing_bench
 from bench import speed as speed_bench
@@ -81,6 +82,22 @@
         out.write_bytes(msgspec.json.format(msgspec.json.encode(found)))
 
 
+@app.command()
+def ordering(
+    count: Annotated[int, typer.Option(help="Number of statements.")] = 100_000,
+    seed: Annotated[int, typer.Option(help="Seed of the arrivals.")] = 1,
+) -> None:
+    """Compare orders of statements within a class at a target with two slots."""
+    for utilisation in (0.7, 0.9):
+        work = ordering_bench.arrivals(utilisation, count, seed)
+        for policy in ordering_bench.POLICIES:
+            for row in ordering_bench.simulate(policy, work):
+                print(
+                    f"utilisation {utilisation:.0%}, {policy}, {row.text}: wait median "
+                    f"{row.median_ms:.1f} ms, p99 {row.p99_ms:.1f} ms, max {row.maximum_ms:.1f} ms"
+                )
+
+
 @app.command()
 def slopes(
     out: Annotated[Path, typer.Option(help="File for the measurements.")] = page.MEASUREMENTS,
