Let a target with an empty log join its group

A property test of log matching failed on an empty replica: the stand-in's primary answered every pull of a joining target with an exception, so it never joined. Also tests that the demo breaks no promise.

--- a/standins/target/storage.py
+++ b/standins/target/storage.py
@@ -149,7 +149,7 @@
 
         Entries of equal term and position are equal, as a term has one primary.
         """
-        ends = [first - 1 for first, _ in runs[1:]] + [last]
+        ends = [*(first - 1 for first, _ in runs[1:]), last][: len(runs)]
         matched = 0
         for (first, term), end in zip(runs, ends, strict=True):
             upper = min(end, len(self._terms))
--- a/tests/bench/test_demo.py
+++ b/tests/bench/test_demo.py
@@ -58,3 +58,13 @@
     run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
     assert run.returncode == 2
     assert "is not empty" in run.stderr
+
+
+def test_demo_breaks_no_promise(demo: "subprocess.Popen[str]") -> None:
+    """Guards against programs that work alone and not together, on a lost primary as well."""
+    output, _ = demo.communicate(timeout=60)
+    assert demo.returncode == 0, output
+    verdicts = [line for line in output.splitlines() if line[:2].rstrip(".").isdigit()]
+    assert len(verdicts) == 9
+    assert not any("violated" in line for line in verdicts), output
+    assert "failover of caves after kill: none" not in output
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,7 +1,10 @@
 """Stand-ins and drivers together."""
 
-from bench.deployment import GroupStandin
-from bench.processes import wait_until
+from pathlib import Path
+
+from bench.deployment import GroupStandin, target_arguments
+from bench.processes import Processes, free_ports, wait_until
+from siskindale.models.bundle import Target, TargetState
 from siskindale.models.group import LogPosition, Role
 from siskindale.platform.interface import Condition, Platform, PlatformFailure, Write
 from siskindale.targets.http import HttpTargets
@@ -65,6 +68,30 @@
     assert (read.results[0].rows, read.term, read.matched) == (((2,),), 2, True)
 
 
+def test_empty_target_joins(
+    group: GroupStandin, targets: HttpTargets, processes: Processes, tmp_path: Path
+) -> None:
+    """Guards against a new target that cannot match its empty log with the primary's."""
+    primary = targets.connect(group.target("survey-a"), TIMEOUT_S).unwrap()
+    primary.run([Statement("CREATE TABLE t (n INTEGER)")], TIMEOUT_S).unwrap()
+    data, control = free_ports(2)
+    joining = Target("survey-d", "devin", data, control, TargetState.JOINING)
+    options = {"initial_primary": "", "voters": ""}
+    arguments = target_arguments(group.group, joining, tmp_path, options)
+    processes.start(joining.name, "standins.target", arguments)
+    processes.wait_accepting(joining.name, control)
+    client = targets.control(joining)
+    empty = client.status(TIMEOUT_S).unwrap()
+    assert (empty.role, empty.term, empty.log) == (Role.FENCED, 0, LogPosition())
+    client.follow(1, group.target("survey-a"), TIMEOUT_S).unwrap()
+    joined = client.wait_position(1, 2, TIMEOUT_S).unwrap()
+    assert (joined.matched, joined.log, joined.voters) == (
+        True,
+        LogPosition(1, 2),
+        group.group.voters,
+    )
+
+
 def test_conditional_commit(platform: Platform) -> None:
     """Guards against a second writer that wins over a condition that does not hold."""
     tables = platform.tables
