--- a/siskindale/pool/systems/discovery.py
+++ b/siskindale/pool/systems/discovery.py
@@ -19,7 +19,8 @@
     TimerKind,
 )
 
-POLL_SETTLED_S = 1.0
+# Controllers announce a new primary, and batches that take long shorten the interval.
+POLL_SETTLED_S = 2.0
 # While batches or confirmations take long, the primary may be lost.
 POLL_SUSPICIOUS_S = 0.25
 POLL_UNSETTLED_S = 0.05
@@ -115,8 +116,9 @@
         }
         for entry in tables.bundle.classes:
             new[entry.name].statement_class = entry
-        # Classes that left the bundle keep their queue until it is empty.
-        row.queues[lane] = new | {name: queue for name, queue in old.items() if queue.live}
+        # Classes that left the bundle keep their queues until the group is dropped, as requests may
+        # come back to them; there are few.
+        row.queues[lane] = new | old
 
 
 def _is_unused(tables: Tables, row: GroupRow, now: float) -> bool:
