--- a/siskindale/bundles/audit.py
+++ b/siskindale/bundles/audit.py
@@ -5,7 +5,8 @@
 records.
 """
 
-from collections.abc import Iterator, Sequence
+import contextlib
+from collections.abc import Iterable, Iterator, Sequence
 
 import attrs
 import msgspec
@@ -57,6 +58,15 @@
     return msgspec.convert(value, AuditRow)
 
 
+def readable(rows: Iterable[Row]) -> list[AuditRow]:
+    """Returns the rows that are audit rows, in their order; `verify` names the others."""
+    found = []
+    for row in rows:
+        with contextlib.suppress(msgspec.ValidationError):
+            found.append(from_value(row.value))
+    return sorted(found, key=lambda row: row.sequence)
+
+
 def verify(rows: Sequence[Row], version: int, last_hash: str) -> list[Finding]:
     """Returns what is wrong with the rows up to the head, which names version and last hash."""
     present = {row.key: row for row in rows if not row.deleted}
--- a/siskindale/bundles/rolling.py
+++ b/siskindale/bundles/rolling.py
@@ -106,7 +106,7 @@
 def read_audit(platform: Platform, version: int) -> AuditRow | None:
     """Returns the audit row of a version, None where it is absent or cannot be read."""
     row = platform.tables.read(AUDIT_TABLE, audit.key_of(version)).value_or(None)
-    return None if row is None else audit.from_value(row.value)
+    return next(iter(audit.readable([row] if row else [])), None)
 
 
 class Roller:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -132,6 +132,11 @@
     operator.platform.apply([Write(audit.AUDIT_TABLE, audit.key_of(1), None)])
     assert operator.on("audit", "--verify") == 1
     assert operator.stderr == "siskindale: error: audit/000000000001: the row is missing\n"
+    operator.platform.apply([Write(audit.AUDIT_TABLE, audit.key_of(1), {"hash": 1})])
+    assert operator.on("audit", "--verify") == 1
+    assert "the row is not an audit row" in operator.stderr
+    for command in (("audit",), ("bundle", "history"), ("bundle", "show")):
+        assert operator.on(*command) == 0, operator.stderr
 
 
 def test_key_file_is_private_and_never_overwritten(operator: Operator) -> None:
