--- a/siskindale/entry/forwarding.py
+++ b/siskindale/entry/forwarding.py
@@ -40,6 +40,7 @@
 RETURN_SHARE = 0.1
 RETURN_MAX_S = 0.05
 MAX_ATTEMPTS = 4
+NO_POOL_RETRY_MS = 1000
 RECHECK_S = 0.1
 BUDGET_MAX = 500.0
 # Tokens per second without traffic, so that a quiet entry can resend at all.
@@ -158,14 +159,14 @@
 
 def _proceed(tables: Tables, pending: Pending, routes: Routes, now: float) -> list[Effect]:
     if now >= pending.deadline:
-        return [_resolve(tables, pending, _final(pending), "")]
+        return [_resolve(tables, pending, _final(pending, now), "")]
     wanted = _wants_attempt(tables, pending, now)
     if wanted and (not pending.attempts or tables.budget.tokens >= 1.0):
         vm = _choose(tables, pending, routes, now)
         if vm is not None:
             return [_send(tables, pending, vm, routes, now)]
     if all(attempt.verdict is not None for attempt in pending.attempts):
-        return [_resolve(tables, pending, _final(pending), "")]
+        return [_resolve(tables, pending, _final(pending, now), "")]
     _set_timer(tables, pending, now + RECHECK_S if wanted else _next_look(pending, now))
     return []
 
@@ -296,13 +297,19 @@
     return Resolve(pending.number, answer, vm or last, len(pending.attempts))
 
 
-def _final(pending: Pending) -> Answer:
+def _unsent_refusal(pending: Pending, now: float) -> Refusal:
+    if now >= pending.deadline:
+        detail = "the deadline passed before the request could be sent to a pool"
+        return Refusal(RefusalKind.DEADLINE_EXCEEDED, detail)
+    return Refusal(RefusalKind.UNAVAILABLE, "no pool of this database is known", NO_POOL_RETRY_MS)
+
+
+def _final(pending: Pending, now: float) -> Answer:
     """Returns what is true of a request that no pool has done."""
     attempts = pending.attempts
     request_id = pending.request.request_id
     if not attempts:
-        refusal = Refusal(RefusalKind.UNAVAILABLE, "no pool of this database is known", 1000)
-        return Answer(request_id, Outcome.NOT_RUN, refusal=refusal)
+        return Answer(request_id, Outcome.NOT_RUN, refusal=_unsent_refusal(pending, now))
     if all(attempt.verdict is Outcome.NOT_RUN for attempt in attempts):
         return Answer(request_id, Outcome.NOT_RUN, refusal=attempts[-1].refusal)
     told = [a.refusal.detail for a in attempts if a.refusal and a.verdict is Outcome.UNKNOWN]
