--- a/siskindale/controller/program.py
+++ b/siskindale/controller/program.py
@@ -178,7 +178,6 @@
         while True:
             gevent.sleep(HOUSEKEEPING_S)
             metrics.collect(self._tables, self._clock.monotonic())
-            self._parts.mailbox.close_idle()
             rows = self._tables.groups.values()
             self._targets.keep(t.target for row in rows for t in row.targets.values())
 
--- a/siskindale/entry/dispatcher.py
+++ b/siskindale/entry/dispatcher.py
@@ -7,7 +7,7 @@
 from siskindale.context import Clock
 from siskindale.entry import forwarding, metrics
 from siskindale.entry.routes import DirectoryRoutes
-from siskindale.entry.tables import Effect, Pending, Policy, Probe, Request, Resolve, Send
+from siskindale.entry.tables import Discard, Effect, Pending, Policy, Probe, Request, Resolve, Send
 from siskindale.models.wire import AliveReply, AliveRequest, Answer, DrainNotice
 from siskindale.runtime.logs import logger
 from siskindale.runtime.loop import TickLoop
@@ -88,6 +88,8 @@
                 queue.extend(self._send(effect))
             elif isinstance(effect, Probe):
                 self._probe(effect.pool)
+            elif isinstance(effect, Discard):
+                self._mailbox.discard(self._routes.url(effect.pool) or "")
             else:
                 self._waiting.pop(effect.number).set(effect)
 
--- a/siskindale/entry/forwarding.py
+++ b/siskindale/entry/forwarding.py
@@ -11,6 +11,7 @@
 
 from siskindale.entry.tables import (
     Attempt,
+    Discard,
     Effect,
     Pending,
     Policy,
@@ -136,6 +137,7 @@
             effects.append(Probe(pool.vm))
         elif pool.probed_at is not None and now - pool.probed_at >= SILENT_AFTER_S:
             _silence(pool, now)
+            effects.append(Discard(pool.vm))
             _reconsider(tables, pool.vm, now)
     return effects
 
--- a/siskindale/entry/tables.py
+++ b/siskindale/entry/tables.py
@@ -143,6 +143,13 @@
     correlation_id: int
 
 
+@attrs.frozen
+class Discard:
+    """Drop what is queued for a silent pool; after its restart nobody waits for it any more."""
+
+    pool: str
+
+
 @attrs.frozen
 class Probe:
     """Ask the pool of a VM for a sign of life."""
@@ -160,4 +167,4 @@
     attempts: int
 
 
-Effect = Send | Probe | Resolve
+Effect = Send | Probe | Discard | Resolve
--- a/siskindale/pool/program.py
+++ b/siskindale/pool/program.py
@@ -177,7 +177,6 @@
         for count in itertools.count(1):
             gevent.sleep(HOUSEKEEPING_S)
             metrics.collect(self._tables)
-            self._parts.mailbox.close_idle()
             if count % LOST_CONNECTIONS_EVERY == 0:
                 self._find_lost_connections()
             served = self._tables.groups.values()
--- a/siskindale/transport/mailbox.py
+++ b/siskindale/transport/mailbox.py
@@ -18,6 +18,7 @@
 from siskindale.models.settings import Address
 from siskindale.models.wire import Body, Envelope
 from siskindale.transport import codec
+from siskindale.transport.delays import Delays
 from siskindale.transport.metrics import Purpose, Traffic
 
 MAX_MESSAGE_BYTES = 64 << 20
@@ -27,6 +28,7 @@
 RECONNECT_MAX_MS = 500
 RETRY_SEND_S = 0.002
 IDLE_OUTBOX_S = 120.0
+HOUSEKEEPING_S = 10.0
 
 Handler = Callable[["Delivery"], None]
 
@@ -63,10 +65,10 @@
         self._clock = clock
         self._correlation = itertools.count(1)
         self._outboxes: dict[str, _Outbox] = {}
-        self._fastest: dict[str, float] = {}
+        self._delays = Delays()
         self._handlers: dict[str, Handler] = {}
         self._inbox = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES, recv_buffer_size=OUTBOX_MESSAGES)
-        self._receiver: gevent.Greenlet | None = None
+        self._greenlets: list[gevent.Greenlet] = []
         self._dropped = 0
         self._traffic = {purpose: Traffic(purpose) for purpose in Purpose}
 
@@ -97,12 +99,11 @@
     def start(self) -> None:
         """Listens on the inbox and starts receiving."""
         self._inbox.listen(self._url)
-        self._receiver = gevent.spawn(self._receive)
+        self._greenlets = [gevent.spawn(self._receive), gevent.spawn(self._keep_house)]
 
     def close(self) -> None:
         """Stops receiving and closes all sockets."""
-        if self._receiver is not None:
-            self._receiver.kill()
+        gevent.killall(self._greenlets)
         self._inbox.close()
         for outbox in self._outboxes.values():
             outbox.socket.close()
@@ -142,8 +143,15 @@
             gevent.sleep(RETRY_SEND_S)
         return True
 
+    def discard(self, url: str) -> None:
+        """Drops what is queued for a peer, which would otherwise arrive after its restart."""
+        outbox = self._outboxes.pop(url, None)
+        if outbox is not None:
+            outbox.socket.close()
+
     def close_idle(self) -> None:
         """Closes outboxes that were not used for `IDLE_OUTBOX_S`, which bounds memory."""
+        self._delays.forget_silent(self._clock.monotonic())
         limit = self._clock.monotonic() - IDLE_OUTBOX_S
         for url in [url for url, outbox in self._outboxes.items() if outbox.used_at < limit]:
             self._outboxes.pop(url).socket.close()
@@ -161,6 +169,11 @@
         outbox.used_at = self._clock.monotonic()
         return outbox
 
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(HOUSEKEEPING_S)
+            self.close_idle()
+
     def _receive(self) -> None:
         descriptor = self._inbox.recv_fd
         while True:
@@ -196,7 +209,5 @@
         return Purpose.LOCAL if peer.startswith(self._local) else Purpose.CONTROL
 
     def _delay(self, envelope: Envelope) -> float:
-        transit = self._clock.monotonic() - envelope.sent_at
-        fastest = min(transit, self._fastest.get(envelope.sender_boot, transit))
-        self._fastest[envelope.sender_boot] = fastest
-        return transit - fastest
+        now = self._clock.monotonic()
+        return self._delays.note(envelope.sender_boot, envelope.sent_at, now)
