Replace a primary that no pool of its group reaches

Change: a pool that reaches a majority without the primary tells the group's controllers; when all pools (two or more) report the same term, the primary counts as lost and confirmed. Tests: all pools, one pool.

--- a/bench/failover.py
+++ b/bench/failover.py
@@ -28,7 +28,12 @@
 from siskindale.transport.http import HttpClient
 from siskindale.transport.metrics import Purpose
 
-MODES = ("kill", "isolate", "cut", "freeze")
+MODES = ("kill", "isolate", "cut", "freeze", "pools")
+SIDES = {
+    "isolate": ["targets", "controllers"],
+    "cut": ["targets", "controllers", "pools"],
+    "pools": ["pools"],
+}
 ROUNDS = 4
 # A group allows one promotion in 5 s and six in ten minutes: each one is visited every eighth time.
 PLAN = DeploymentPlan(vms=7, databases=tuple(f"caves{n}" for n in range(1, 9)))
@@ -142,9 +147,7 @@
         elif mode == "freeze":
             group.process(name).signal(signal.SIGSTOP)
         else:
-            reached = ["pools"] if mode == "cut" else []
-            sides = ["targets", "controllers", *reached]
-            group.faults(name, cut_from=sides, cut_mode="hang")
+            group.faults(name, cut_from=SIDES[mode], cut_mode="hang")
 
     def _repair(self, database: str, name: str) -> None:
         group = self._cluster.groups[database]
--- a/siskindale/controller/program.py
+++ b/siskindale/controller/program.py
@@ -23,7 +23,7 @@
 from siskindale.membership.assignment import Assignment
 from siskindale.models.bundle import Bundle
 from siskindale.models.group import TargetStatus
-from siskindale.models.wire import GroupNotice, SightReply, SightRequest
+from siskindale.models.wire import GroupNotice, PrimaryReport, SightReply, SightRequest
 from siskindale.platform.interface import PlatformFailure, Row
 from siskindale.runtime.health import Report
 from siskindale.runtime.logs import logger
@@ -60,6 +60,7 @@
         parts.mailbox.on(SightRequest, self._on_sight_request)
         parts.mailbox.on(SightReply, self._on_sight_reply)
         parts.mailbox.on(GroupNotice, self._on_notice)
+        parts.mailbox.on(PrimaryReport, self._on_report)
         parts.directory.subscribe(self._reassign.set)
         parts.bundles.subscribe(self._on_bundle)
 
@@ -152,6 +153,11 @@
         probing.hasten(self._tables, delivery.body.group)
         self._loop.wake()
 
+    def _on_report(self, delivery: Delivery) -> None:
+        vm = delivery.envelope.sender.partition("/")[0]
+        detection.note_report(self._tables, vm, delivery.body, self._clock.monotonic())
+        self._loop.wake()
+
     def _on_bundle(self, bundle: Bundle) -> None:
         self._reassign.set()
 
--- a/siskindale/controller/systems/assignment.py
+++ b/siskindale/controller/systems/assignment.py
@@ -3,10 +3,9 @@
 from collections.abc import Mapping
 
 from siskindale.controller.tables import GroupRow, Peer, Tables, TargetRow, TermsRow
+from siskindale.membership.assignment import CONTROLLERS
 from siskindale.models.bundle import Bundle, Group, Target
 
-CONTROLLERS = 3
-
 
 def run(
     tables: Tables,
@@ -23,6 +22,7 @@
             others = (vm for vm in controllers if vm != tables.vm and vm in inboxes)
             peers = tuple(Peer(vm, inboxes[vm]) for vm in others)
             _keep(tables, group, controllers.index(tables.vm), peers, now)
+            tables.groups[group.name].pools = ranks[group.name][: bundle.pools_per_group]
         else:
             _drop(tables, group.name)
     for name in set(tables.groups) - {group.name for group in bundle.groups}:
--- a/siskindale/controller/systems/detection.py
+++ b/siskindale/controller/systems/detection.py
@@ -5,7 +5,7 @@
 from siskindale.controller.systems import limits, promotion
 from siskindale.controller.tables import GroupRow, PromotionRow, Sight, Tables
 from siskindale.models.group import Role, TargetStatus
-from siskindale.models.wire import SightReply, SightRequest
+from siskindale.models.wire import PrimaryReport, SightReply, SightRequest
 
 # A peer answers within two one-way delays; asking more often than a delay brings nothing sooner.
 ASK_INTERVAL_S = 0.05
@@ -13,6 +13,9 @@
 SIGHT_VALID_S = 0.2
 # A confirmation and the delays by rank take less; what takes longer is reported.
 HELD_BACK_S = 1.0
+# Pools report every 100 ms; a few lost reports do not end a loss.
+REPORT_VALID_S = 0.5
+MIN_POOLS = 2
 
 
 def run(tables: Tables, now: float) -> list[Effect]:
@@ -45,7 +48,23 @@
         return "no primary"
     if views.serving_primary(row, now, limit) is None:
         return "no response"
-    return "not heard by replicas" if _unheard(row, primary, now, limit) else ""
+    if _unheard(row, primary, now, limit):
+        return "not heard by replicas"
+    return "not reached by pools" if _cut_from_pools(row, now) else ""
+
+
+def note_report(tables: Tables, vm: str, report: PrimaryReport, now: float) -> None:
+    """Takes over the report of a pool."""
+    row = tables.groups.get(report.group)
+    if row is not None and vm in row.pools:
+        row.pool_reports[vm] = (report.term, now)
+
+
+def _cut_from_pools(row: GroupRow, now: float) -> bool:
+    """Whether every pool reports the primary; one pool alone may be cut off itself."""
+    reports = [row.pool_reports.get(vm, (0, float("-inf"))) for vm in row.pools]
+    fresh = [term == row.top_term and now - at < REPORT_VALID_S for term, at in reports]
+    return len(fresh) >= MIN_POOLS and all(fresh)
 
 
 def answer(tables: Tables, request: SightRequest, now: float) -> SightReply | None:
@@ -67,6 +86,8 @@
 
 def confirmation(tables: Tables, row: GroupRow, now: float) -> str:
     """Returns who confirms the loss, empty while nobody does."""
+    if _cut_from_pools(row, now):
+        return "pools"
     recent = [s for s in row.sights.values() if now - s.answered_at < SIGHT_VALID_S]
     if any(s.lost and s.term <= row.top_term for s in recent):
         return "controller"
--- a/siskindale/controller/tables.py
+++ b/siskindale/controller/tables.py
@@ -51,7 +51,8 @@
 
     `top_term` is the highest term seen, since `top_term_at`. `committed` is the newest marker that
     was seen to be held by majorities of both its voter sets. `attempts` are the times of
-    promotions, own and observed.
+    promotions, own and observed. `pool_reports` holds, by VM, the term and time at which a pool
+    reported that it does not reach the primary.
     """
 
     group: Group
@@ -69,6 +70,8 @@
     sights: dict[str, Sight] = attrs.field(factory=dict)
     needed_since: float | None = None
     reported: str = ""
+    pools: tuple[str, ...] = ()
+    pool_reports: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
     @property
     def name(self) -> str:
--- a/siskindale/membership/assignment.py
+++ b/siskindale/membership/assignment.py
@@ -6,6 +6,8 @@
 from siskindale.membership.rendezvous import rank
 from siskindale.models.bundle import Bundle
 
+# Controllers of a group: the first VMs in rank order.
+CONTROLLERS = 3
 # VMs beyond this rank would serve a group only after so many others were found dead.
 KEPT_RANKS = 8
 # Ranking 920 groups of 770 VMs takes a second of CPU time; other work goes on in between.
--- a/siskindale/models/wire.py
+++ b/siskindale/models/wire.py
@@ -199,6 +199,15 @@
     voters: tuple[str, ...]
 
 
+@message("primary-report")
+@attrs.frozen
+class PrimaryReport:
+    """A pool tells the controllers of a group that it reaches a majority without the primary."""
+
+    group: str
+    term: int
+
+
 @message("directory-request")
 @attrs.frozen
 class DirectoryRequest:
--- a/siskindale/pool/effects.py
+++ b/siskindale/pool/effects.py
@@ -64,7 +64,17 @@
     timeout_s: float
 
 
-Effect = Reply | RunBatch | OpenConnection | CloseConnection | AskStatus | WaitPosition
+@attrs.frozen(eq=False)
+class ReportPrimary:
+    """Tell the group's controllers that this pool does not reach the primary of a term."""
+
+    group: str
+    term: int
+
+
+Effect = (
+    Reply | RunBatch | OpenConnection | CloseConnection | AskStatus | WaitPosition | ReportPrimary
+)
 
 
 @attrs.frozen(eq=False)
--- a/siskindale/pool/program.py
+++ b/siskindale/pool/program.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent.event import Event as GeventEvent
 
-from siskindale.membership.assignment import Assignment
+from siskindale.membership.assignment import CONTROLLERS, Assignment
 from siskindale.models.bundle import Bundle
 from siskindale.models.outcomes import Outcome, Refusal
 from siskindale.models.wire import (
@@ -16,6 +16,7 @@
     BeginRequest,
     FinishRequest,
     GroupNotice,
+    PrimaryReport,
     StatementRequest,
     TransactionStatement,
 )
@@ -28,6 +29,7 @@
     Event,
     GroupNoticed,
     Reply,
+    ReportPrimary,
     RequestArrived,
 )
 from siskindale.pool.systems import timers
@@ -128,9 +130,18 @@
     def _execute(self, effect: Effect, now: float) -> None:
         if isinstance(effect, Reply):
             self._reply(effect, now)
+        elif isinstance(effect, ReportPrimary):
+            self._report_primary(effect)
         else:
             self._workers.execute(effect)
 
+    def _report_primary(self, effect: ReportPrimary) -> None:
+        controllers = self._tables.ranks.get(effect.group, ())[:CONTROLLERS]
+        members = {member.vm: member for member in self._parts.directory.members}
+        report = PrimaryReport(effect.group, effect.term)
+        for member in (members[vm] for vm in controllers if vm in members):
+            self._parts.mailbox.send(member.controller.inbox_url, report)
+
     def _reply(self, effect: Reply, now: float) -> None:
         metrics.answered(effect, now)
         answer, delivery = effect.answer, effect.reply
--- a/siskindale/pool/systems/discovery.py
+++ b/siskindale/pool/systems/discovery.py
@@ -5,8 +5,8 @@
 from returns.result import Success
 
 from siskindale.models.bundle import Group, TargetState
-from siskindale.models.group import Role, TargetStatus
-from siskindale.pool.effects import AskStatus, Effect, StatusEnded
+from siskindale.models.group import Role, TargetStatus, majority
+from siskindale.pool.effects import AskStatus, Effect, ReportPrimary, StatusEnded
 from siskindale.pool.systems import acknowledgement, connections, freshness, timers
 from siskindale.pool.tables import (
     GroupRow,
@@ -27,6 +27,7 @@
 POLL_TIMEOUT_S = 0.3
 NOTICE_HOLD_S = 2.0
 SUBSTITUTE_S = 30.0
+REPORT_INTERVAL_S = 0.1
 AVOID_MIN_S = 0.05
 AVOID_MAX_S = 1.0
 
@@ -154,7 +155,27 @@
     due = [t for t in group.targets.values() if not t.polling]
     for target in due:
         target.polling = True
-    return [AskStatus(target, "poll", POLL_TIMEOUT_S) for target in due]
+    questions: list[Effect] = [AskStatus(target, "poll", POLL_TIMEOUT_S) for target in due]
+    return questions + _report(tables, group, now)
+
+
+def _report(tables: Tables, group: GroupRow, now: float) -> list[Effect]:
+    """Reports a primary that this pool does not reach while it reaches a majority without it.
+
+    Controllers that still reach the primary cannot see that no write gets through.
+    """
+    primary = group.primary
+    if primary is None or not primary.failures or not primary.reached_at or not tables.bundle:
+        return []
+    limit = tables.bundle.durations.loss_after_ms / 1000
+    others = [t for name, t in group.targets.items() if name in group.voters and t is not primary]
+    reached = sum(now - target.reached_at < limit for target in others)
+    if now - primary.reached_at < limit or reached < majority(len(group.voters)):
+        return []
+    if now - group.reported_at < REPORT_INTERVAL_S:
+        return []
+    group.reported_at = now
+    return [ReportPrimary(group.name, group.term)]
 
 
 def interval(group: GroupRow, now: float) -> float:
@@ -194,6 +215,7 @@
         avoid(target, now)
     else:
         target.failures = 0
+        target.reached_at = max(target.reached_at, event.sent_at)
         ended = observe(tables, target, status, event.sent_at, now)
     if isinstance(event.purpose, SamplingRow):
         freshness.answered(group, event.purpose, target, status)
--- a/siskindale/pool/tables.py
+++ b/siskindale/pool/tables.py
@@ -88,6 +88,7 @@
     being opened. `held` and
     `confirmed_at` belong to the group's term: the highest position that the target reported as
     matched, and the latest sending time (seconds) of a request that it answered in that term.
+    `reached_at` is that of a status request that it answered in any term, 0 before the first.
     """
 
     definition: Target
@@ -106,6 +107,7 @@
     leaving_since: float | None = None
     status: TargetStatus | None = None
     status_at: float = 0.0
+    reached_at: float = 0.0
     held: int = -1
     confirmed_at: float = -1.0
     applied: int = -1
@@ -193,6 +195,7 @@
     poll_due: float = 0.0
     noticed_at: float = -1e9
     noticed_term: int = 0
+    reported_at: float = -1e9
     dropped: bool = False
     schema_ready: bool = False
     pruned_at: float = -1e9
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -3,7 +3,9 @@
 import attrs
 import pytest
 
+from siskindale.controller.systems import detection
 from siskindale.models.bundle import TargetState
+from siskindale.models.wire import PrimaryReport
 from tests.fakes.controllers import World
 from tests.fakes.group import FakeTarget, target
 
@@ -267,3 +269,34 @@
     world.group.restart("a")
     world.run(1.0)
     assert len(world.group.primaries()) == 1
+
+
+def report(world: World, *vms: str) -> None:
+    """Lets pools report the present primary every 100 ms for two seconds."""
+    for controller in world.controllers.values():
+        controller.row.pools = ("p0", "p1")
+    for _ in range(20):
+        for controller in world.controllers.values():
+            term = controller.row.top_term
+            for vm in vms:
+                message = PrimaryReport(controller.row.name, term)
+                detection.note_report(controller.tables, vm, message, world.now)
+        world.run(0.1)
+
+
+def test_primary_that_no_pool_reaches_is_replaced(world: World) -> None:
+    """Guards against a group without writes because only its pools are cut off the primary."""
+    old = primary(world)
+    report(world, "p0", "p1")
+    assert primary(world) != old
+    assert started(world) == 2
+
+
+def test_one_pool_that_is_cut_off_changes_nothing(world: World) -> None:
+    """Guards against a promotion because of a pool that is cut off itself."""
+    old = primary(world)
+    report(world, "p0")
+    world.run(1.0)
+    report(world, "p1", "stranger")
+    assert primary(world) == old
+    assert started(world) == 1
