Order requests of a class by arrival and expected cost

Cause: with two slots many short statements waited for few long ones. Ways weighed in bench ordering: order of arrival, pure expected cost, arrival plus ten times the expected cost. Conclusion: kept, because the extra wait of a long statement is bounded by its own cost.

--- a/bench/commands.py
+++ b/bench/commands.py
@@ -20,6 +20,7 @@
 from bench.capacity import callers, model, node, page
 from bench.processes import ROOT
 
+UTILISATION = 0.75
 IDLE_CALLERS = (500, 1000, 2000, 4000)
 NODE_SIZES = ((100, 120), (300, 360), (770, 920))
 CALLERS = (8, 32, 64)
@@ -84,10 +85,14 @@
 
 @app.command()
 def ordering(
-    count: Annotated[int, typer.Option(help="Number of statements.")] = 100_000,
+    count: Annotated[int, typer.Option(help="Number of simulated statements.")] = 100_000,
+    seconds: Annotated[float, typer.Option(help="Length of the load through the pool.")] = 20.0,
     seed: Annotated[int, typer.Option(help="Seed of the arrivals.")] = 1,
 ) -> None:
-    """Compare orders of statements within a class at a target with two slots."""
+    """Compare orders of statements within a class at a target with two slots.
+
+    The first lines are simulated; the last ones are measured through the pool as it is.
+    """
     for utilisation in (0.7, 0.9):
         work = ordering_bench.arrivals(utilisation, count, seed)
         for policy in ordering_bench.POLICIES:
@@ -96,6 +101,9 @@
                     f"utilisation {utilisation:.0%}, {policy}, {row.text}: wait median "
                     f"{row.median_ms:.1f} ms, p99 {row.p99_ms:.1f} ms, max {row.maximum_ms:.1f} ms"
                 )
+    with tempfile.TemporaryDirectory(prefix="siskindale-ordering-") as directory:
+        for served in ordering_bench.through_pool(Path(directory), UTILISATION, seconds, seed):
+            print(f"through the pool, {served}")
 
 
 @app.command()
--- a/bench/ordering.py
+++ b/bench/ordering.py
@@ -7,14 +7,27 @@
 
 import heapq
 import itertools
+import time
 from collections import deque
 from collections.abc import Callable
+from pathlib import Path
 from random import Random
 
 import attrs
+import gevent
+import msgspec
 from hdrh.histogram import HdrHistogram
 
+from bench.cluster import TOKEN, Cluster
+from bench.experiment import DeploymentPlan
+from bench.processes import Processes
+from siskindale.models.settings import Address
+from siskindale.transport.http import HttpClient
+from siskindale.transport.metrics import Purpose
+
 SLOTS = 2
+DEADLINE_MS = 20_000
+MAX_KEPT = 256
 RECENT_RUNS = 10
 UNKNOWN_COST_S = 0.0
 # Mean cost in seconds and share of the arrivals of each statement text.
@@ -117,3 +130,64 @@
 def _waits(policy: str, text: str, histogram: HdrHistogram) -> Waits:
     values = (histogram.get_value_at_percentile(p) / 1000 for p in (50, 99, 100))
     return Waits(policy, text, histogram.get_total_count(), *values)
+
+
+@attrs.frozen
+class Served:
+    """Milliseconds from the due time of a statement to its answer, through entry and pool."""
+
+    text: str
+    count: int
+    refused: int
+    median_ms: float
+    p99_ms: float
+    maximum_ms: float
+
+
+def through_pool(directory: Path, utilisation: float, seconds: float, seed: int) -> list[Served]:
+    """Sends the mix as strongly consistent reads through one entry and one pool with two slots."""
+    # One pool of two gets half of the four slots.
+    plan = DeploymentPlan(vms=1, databases=("caves",), slots=2 * SLOTS, connections=64)
+    mean = sum(cost * share for cost, share in MIX.values())
+    work = arrivals(utilisation, int(seconds * utilisation * SLOTS / mean), seed)
+    with Processes(directory) as processes:
+        cluster = Cluster(plan, processes, directory)
+        cluster.start()
+        listen = next(iter(cluster.vms.values())).settings.entry.listen
+        return _Load(listen, plan.databases[0]).run(work)
+
+
+class _Load:
+    def __init__(self, entry: Address, database: str) -> None:
+        headers = {"Authorization": f"Bearer {TOKEN}", "Content-Type": "application/json"}
+        headers["Siskindale-Deadline-Ms"] = str(DEADLINE_MS)
+        self._client = HttpClient(entry, headers, Purpose.STATEMENTS, MAX_KEPT)
+        self._path = f"/v1/databases/{database}/statements"
+        self._histograms = {text: HdrHistogram(1, 600_000_000, 3) for text in (*MIX, "all")}
+        self._refused = dict.fromkeys(self._histograms, 0)
+
+    def run(self, work: list[Arrival]) -> list[Served]:
+        """Starts every statement when it is due; returns when all are answered."""
+        started = time.monotonic() + 0.5
+        greenlets = []
+        for arrival in work:
+            gevent.sleep(max(0.0, started + arrival.at - time.monotonic()))
+            greenlets.append(gevent.spawn(self._send, arrival, started + arrival.at))
+        gevent.joinall(greenlets, raise_error=True)
+        return [self._served(text, histogram) for text, histogram in self._histograms.items()]
+
+    def _send(self, arrival: Arrival, due_at: float) -> None:
+        sql = f"/* cost_ms={MIX[arrival.text][0] * 1000:g} */ SELECT 1"
+        body = {"sql": sql, "params": [], "access": "read", "class": "revisions"}
+        answer = self._client.request(
+            "POST", self._path, msgspec.json.encode(body), DEADLINE_MS / 1000 + 1
+        ).unwrap()
+        for text in (arrival.text, "all"):
+            if answer.status == 200:
+                self._histograms[text].record_value(int((time.monotonic() - due_at) * 1e6))
+            else:
+                self._refused[text] += 1
+
+    def _served(self, text: str, histogram: HdrHistogram) -> Served:
+        values = (histogram.get_value_at_percentile(p) / 1000 for p in (50, 99, 100))
+        return Served(text, histogram.get_total_count(), self._refused[text], *values)
--- a/siskindale/pool/systems/admission.py
+++ b/siskindale/pool/systems/admission.py
@@ -4,7 +4,14 @@
 from siskindale.models.wire import BeginRequest, StatementRequest
 from siskindale.pool import answers
 from siskindale.pool.effects import Effect
-from siskindale.pool.systems import batches, connections, discovery, routing, timers
+from siskindale.pool.systems import (
+    batches,
+    connections,
+    discovery,
+    ordering,
+    routing,
+    timers,
+)
 from siskindale.pool.tables import (
     GroupRow,
     Lane,
@@ -31,7 +38,7 @@
     wait = expected_wait_s(group, request)
     if now + wait > request.deadline:
         return _overloaded(tables, request, "the expected wait exceeds the deadline", now)
-    _append(tables, request, left=False)
+    _append(tables, request, now, admitted=False)
     return []
 
 
@@ -64,7 +71,7 @@
     return (Lane.REPLICA,) if lane is Lane.REPLICA else (Lane.READ, Lane.WRITE)
 
 
-def _append(tables: Tables, request: RequestRow, left: bool) -> None:
+def _append(tables: Tables, request: RequestRow, now: float, admitted: bool) -> None:
     queue = request.group.queues[request.lane].get(request.statement_class)
     if queue is None:
         # The class left the bundle after the request was admitted.
@@ -72,17 +79,17 @@
         queue, request.statement_class = last, last.statement_class.name
     request.phase = Phase.QUEUED
     queue.live += 1
-    if left:
-        queue.waiting.appendleft(request)
+    if admitted:
+        ordering.push_back(tables, queue, request)
     else:
-        queue.waiting.append(request)
+        ordering.push(tables, queue, request, now)
     tables.touch(request.group)
 
 
 def requeue(tables: Tables, request: RequestRow, stage: Stage, now: float) -> list[Effect]:
     """Queues an admitted request for its next stage, ahead of those that came later."""
     request.stage = stage
-    _append(tables, request, left=True)
+    _append(tables, request, now, admitted=True)
     return []
 
 
@@ -147,7 +154,7 @@
     effects: list[Effect] = []
     queues = list(group.queues.get(Lane.REPLICA, {}).values())
     while (queue := choose(queues)) is not None:
-        request = queue.waiting[0]
+        request = queue.waiting[0][2]
         candidates = [] if tables.degraded else routing.replicas(tables, group, request, now)
         target = routing.best(candidates)
         if candidates and target is None:
@@ -158,7 +165,7 @@
             effects += refusal
         elif target is None:
             request.stage = Stage.READ
-            _append(tables, request, left=False)
+            _append(tables, request, now, admitted=False)
         else:
             effects += batches.start(tables, request, connections.take(target), now)
     return effects
@@ -189,8 +196,8 @@
     if not waiting:
         return None
     for queue in waiting:
-        while queue.waiting[0].phase is not Phase.QUEUED:
-            queue.waiting.popleft()
+        while queue.waiting[0][2].phase is not Phase.QUEUED:
+            ordering.pop(queue)
     starved = max(waiting, key=lambda queue: queue.deficit)
     return starved if starved.deficit >= 1 else waiting[0]
 
@@ -202,6 +209,6 @@
             other.deficit += other.statement_class.min_share
     queue.deficit = max(0.0, queue.deficit - 1)
     queue.live -= 1
-    request = queue.waiting.popleft()
+    request = ordering.pop(queue)
     request.phase = Phase.WAITING
     return request
--- a/siskindale/pool/systems/completion.py
+++ b/siskindale/pool/systems/completion.py
@@ -16,6 +16,7 @@
     discovery,
     freshness,
     idempotency,
+    ordering,
     transactions,
 )
 from siskindale.pool.tables import (
@@ -44,6 +45,7 @@
     connection, request = event.connection, event.connection.request
     if connection.closed or request is None:
         return []
+    ordering.note(request, now - request.since)
     connections.finished(connection, now)
     tables.touch(connection.target.group)
     if isinstance(event.outcome, Success):
--- a/siskindale/pool/tables.py
+++ b/siskindale/pool/tables.py
@@ -147,10 +147,13 @@
 
 @attrs.define(eq=False)
 class QueueRow:
-    """Bounded queue of one class and lane; `deficit` grows while others are served."""
+    """Bounded queue of one class and lane; `deficit` grows while others are served.
+
+    `waiting` is a heap by rank; `live` counts the requests in it that have not ended meanwhile.
+    """
 
     statement_class: StatementClass
-    waiting: "deque[RequestRow]" = attrs.field(factory=deque)
+    waiting: "list[tuple[float, int, RequestRow]]" = attrs.field(factory=list)
     live: int = 0
     deficit: float = 0.0
 
@@ -197,6 +200,7 @@
     noticed_term: int = 0
     reported_at: float = -1e9
     dropped: bool = False
+    costs: dict[str, deque[float]] = attrs.field(factory=dict)
     schema_ready: bool = False
     pruned_at: float = -1e9
     pruning: bool = False
--- a/tests/pool/test_decisions.py
+++ b/tests/pool/test_decisions.py
@@ -58,7 +58,7 @@
     for _ in range(100):
         for queue in queues:
             request.phase = Phase.QUEUED
-            queue.waiting.append(request)
+            queue.waiting = [(0.0, 0, request)]
         chosen = admission.choose(queues)
         assert chosen is not None
         admission.pop(queues, chosen)
