--- a/features/steps/session.py
+++ b/features/steps/session.py
@@ -1,6 +1,7 @@
 from behave import given, then, when
 
-from siskindale.models.group import LogPosition
+from bench import schema
+from siskindale.models.group import LogPosition, Role
 from siskindale.models.session import Session
 
 
@@ -17,3 +18,45 @@
 @then('its position in group "{group}" is term {term:d} position {position:d}')
 def check_position(context, term, position, group):
     assert context.session.position(group) == LogPosition(term, position)
+
+
+@given('the replicas of "{database}" apply {seconds:d} s late')
+def lag(context, database, seconds):
+    group = context.field.cluster.groups[database]
+    for target in group.group.targets:
+        group.faults(target.name, apply_lag_ms=seconds * 1000)
+
+
+@given('a session at "{vm}"')
+def start_session(context, vm):
+    context.session = context.field.session(vm)
+
+
+@when('it writes to "{database}"')
+def write(context, database):
+    context.written = context.field.write(context.session, database)
+    assert context.written.outcome == "done", context.written
+
+
+@when('it reads "{database}" at "{vm}" with a bounded age')
+def read_elsewhere(context, database, vm):
+    context.session.vm = vm
+    params = ["nonce", context.session.name]
+    context.answer = context.field.statement(
+        context.session, database, schema.READ_OWN, params, access="read", kind="browsing"
+    )
+    context.statuses = context.field.cluster.statuses(database)
+
+
+@then("it sees its write")
+def check_own_write(context):
+    assert context.session.vm == "vm2", "the session was moved to another entry"
+    assert context.answer.cell(1) == 1, context.answer
+
+
+@then('no replica of "{database}" has applied the write')
+def check_lag(context, database):
+    primary = next(s for s in context.statuses if s.role is Role.PRIMARY)
+    replicas = [s for s in context.statuses if s.role is Role.REPLICA]
+    assert replicas, context.statuses
+    assert all(s.applied_position < primary.applied_position for s in replicas), context.statuses
