--- a/features/steps/bundles.py
+++ b/features/steps/bundles.py
@@ -1,6 +1,11 @@
 import attrs
+import gevent
 from behave import given, then, when
 
+from bench.cluster import PROGRAMS
+from bench.faults import ACTIONS
+from bench.processes import accepts, wait_until
+from features.steps.helpers import BUNDLE_S
 from siskindale.bundles import audit, rolling, signing
 from siskindale.bundles.rolling import Accepted, Roller, RollRequest
 from siskindale.models.bundle import SignedBundle
@@ -126,3 +131,66 @@
 @then("program {number:d} is not ready")
 def check_not_ready(context, number):
     assert not context.deployment.followers[number - 1].ready
+
+
+def watch(context):
+    """Records the versions that programs serve by; those that do not respond are left out."""
+    while context.watching:
+        context.seen.append({n: v for n, v in context.field.versions().items() if v > 0})
+        gevent.sleep(0.05)
+
+
+def in_effect(context):
+    return all(version >= context.version for version in context.field.versions().values())
+
+
+def stop_watching(context):
+    context.watching = False
+    context.watcher.join()
+
+
+@when("a bundle is rolled")
+def roll_deployed(context):
+    context.version = ACTIONS.get("roll")(context.field.injector, {})["version"]
+
+
+@then("it is in effect in every program")
+def check_deployed(context):
+    wait_until(lambda: in_effect(context), BUNDLE_S, f"version {context.version} everywhere")
+
+
+@when("the store goes down")
+def take_store_down(context):
+    context.field.cluster.platform.faults(down=True)
+    context.watching, context.seen = True, []
+    context.watcher = gevent.spawn(watch, context)
+    context.add_cleanup(stop_watching, context)
+
+
+@when('"{vm}" is killed and started again')
+def restart_vm(context, vm):
+    field = context.field
+    field.kill_vm(vm)
+    for program in PROGRAMS:
+        field.cluster.start_program(field.cluster.vms[vm], program)
+
+
+@then('the programs of "{vm}" serve by no older bundle until the store responds')
+def check_restarted(context, vm):
+    cluster = context.field.cluster
+    health = cluster.vms[vm].health
+    # Each program responds, whether it is ready or not, before the store is up again.
+    wait_until(
+        lambda: all(accepts(health(program)) for program in PROGRAMS), BUNDLE_S, f"{vm} responds"
+    )
+    versions = {p: cluster.bundle_version(cluster.vms[vm], p) for p in PROGRAMS}
+    assert all(v <= 0 or v >= context.version for v in versions.values()), versions
+    cluster.platform.faults(down=False)
+
+
+@then("no program was seen with an older bundle")
+def check_never_older(context):
+    stop_watching(context)
+    assert context.seen
+    older = [seen for seen in context.seen if any(v < context.version for v in seen.values())]
+    assert not older, older[:3]
--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -4,6 +4,7 @@
 import time
 from random import Random
 
+import attrs
 import gevent
 
 from bench import schema
@@ -42,6 +43,7 @@
             process.signal(signal.SIGCONT)
             if not process.running:
                 self.cluster.start_program(vm, program)
+        self._restore_groups()
         self.cluster.live = set(self.cluster.vms)
         self.cluster.publish_live()
         for name in self.cluster.vms:
@@ -50,6 +52,13 @@
         for database in self.cluster.plan.databases:
             self.wait_accepting_writes(database)
 
+    def _restore_groups(self):
+        """Takes targets back that left by a bundle."""
+        cluster = self.cluster
+        if cluster.bundle.groups != self.groups_of_first_bundle:
+            body = attrs.evolve(cluster.bundle, groups=self.groups_of_first_bundle)
+            cluster.bundle = cluster.operators.roll(body)
+
     def session(self, vm="vm1"):
         self._count += 1
         return Session(f"scenario{self._count}", vm)
