--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -1,10 +1,11 @@
+import attrs
 import gevent
 from behave import given, then, when
 
 from bench import schema
-from bench.faults import ACTIONS
 from bench.processes import wait_until
 from features.steps.helpers import BUNDLE_S, LEAVING_S, WRITABLE_S, now
+from siskindale.models.bundle import TargetState
 
 PAUSE_S = 0.02
 
@@ -34,13 +35,19 @@
 
 @given('a replica of "{database}" that serves callers')
 def find_replica(context, database):
-    injector = context.field.injector
-    context.replica = injector.target_of({"database": database, "role": "replica"})
-    wait_until(
-        lambda: served_by(read(context, database, "vm1")) == context.replica,
-        WRITABLE_S,
-        f"{context.replica} serves a read",
+    def found():
+        served = read(context, database, "vm1").body.get("served_by") or {}
+        context.replica = served.get("target")
+        return served.get("role") == "replica"
+
+    wait_until(found, WRITABLE_S, f"a replica of {database} serves a read")
+
+
+def without(group, name):
+    targets = tuple(
+        attrs.evolve(t, state=TargetState.LEAVING) if t.name == name else t for t in group.targets
     )
+    return attrs.evolve(group, targets=targets)
 
 
 @given('callers that read from "{database}" with a bounded age at every VM')
@@ -55,8 +62,10 @@
 
 @when("a bundle names the replica as leaving")
 def roll_leaving(context):
-    found = ACTIONS.get("roll")(context.field.injector, {"leaving": context.database})
-    context.rolled_at = found["at"]
+    cluster = context.field.cluster
+    groups = tuple(without(group, context.replica) for group in cluster.bundle.groups)
+    cluster.bundle = cluster.operators.roll(attrs.evolve(cluster.bundle, groups=groups))
+    context.rolled_at = now()
 
 
 @when(
