Refuse work at a pool that gets no connection, and announce restarted pools

Cause: entries avoided a drained or silent pool for up to 10 s although it had restarted; the substitute found all 16 connections held by the other pools, and its requests waited until their deadline. Seen as writes stalled for 8 to 12 s in features (shutdown, bundles). Change: a pool that is ready tells all entries; a pool without any connection to the primary refuses its queue as unavailable when the target's limit is reached, so that entries go elsewhere.

--- a/siskindale/models/wire.py
+++ b/siskindale/models/wire.py
@@ -249,7 +249,7 @@
 @message("alive-reply")
 @attrs.frozen
 class AliveReply:
-    """Answer to `AliveRequest`."""
+    """Answer to `AliveRequest`; also sent by a pool to all entries when it becomes ready."""
 
 
 Body = Any
--- a/siskindale/pool/engine.py
+++ b/siskindale/pool/engine.py
@@ -32,6 +32,7 @@
     transactions,
 )
 from siskindale.pool.tables import GroupRow, Phase, Tables, TimerKind
+from siskindale.targets.interface import TargetFailure
 
 MAX_ROUNDS = 8
 
@@ -111,7 +112,10 @@
 def _open_failed(
     tables: Tables, event: ConnectionFailed, now: float, random: Random
 ) -> list[Effect]:
-    return connections.failed(tables, event, now, random)
+    effects = connections.failed(tables, event, now, random)
+    if event.error.kind is TargetFailure.LIMIT:
+        effects += admission.refuse_starved(tables, event.target)
+    return effects
 
 
 def _status(tables: Tables, event: StatusEnded, now: float, _: Random) -> list[Effect]:
--- a/siskindale/pool/program.py
+++ b/siskindale/pool/program.py
@@ -12,6 +12,7 @@
 from siskindale.models.bundle import Bundle
 from siskindale.models.outcomes import Outcome, Refusal
 from siskindale.models.wire import (
+    AliveReply,
     Answer,
     BeginRequest,
     FinishRequest,
@@ -181,9 +182,19 @@
             return
         ranks = self._assignment.rank(bundle)
         self._report(DirectoryChanged(ranks, self._parts.directory.leaving))
+        if self._tables.bundle is None:
+            self._announce_ready()
         if bundle is not self._tables.bundle:
             self._report(BundleAdopted(bundle))
 
+    def _announce_ready(self) -> None:
+        """Ends at once that entries avoid this VM's pool because of its earlier boot.
+
+        Until then a substitute gets the requests, which may find all connections taken.
+        """
+        for member in self._parts.directory.members:
+            self._parts.mailbox.send(member.entry.inbox_url, AliveReply())
+
     def _keep_house(self) -> None:
         for count in itertools.count(1):
             gevent.sleep(HOUSEKEEPING_S)
--- a/siskindale/pool/systems/admission.py
+++ b/siskindale/pool/systems/admission.py
@@ -107,6 +107,25 @@
     return requeue(tables, request, request.stage, now)
 
 
+def refuse_starved(tables: Tables, target: TargetRow) -> list[Effect]:
+    """Refuses what waits for a primary whose connections are all held by other pools.
+
+    The entry then tries one of those; waiting here would last until the deadline.
+    """
+    group = target.group
+    if target is not group.primary or target.open:
+        return []
+    lanes = [group.queues.get(lane, {}) for lane in (Lane.READ, Lane.WRITE)]
+    entries = [entry for lane in lanes for queue in lane.values() for entry in queue.waiting]
+    waiting = [request for _, _, request in entries if request.phase is Phase.QUEUED]
+    detail = "other pools hold all connections of the primary"
+    return [
+        effect
+        for request in waiting
+        for effect in answers.refuse(tables, request, RefusalKind.UNAVAILABLE, detail)
+    ]
+
+
 def may_retry(request: RequestRow) -> bool:
     """Takes one attempt from the retry budget; attempts without bound prolong an overload."""
     if request.retries >= MAX_RETRIES or request.group.retry_tokens < 1:
--- a/tests/pool/test_decisions.py
+++ b/tests/pool/test_decisions.py
@@ -5,10 +5,16 @@
 
 from siskindale.models.outcomes import Outcome, RefusalKind
 from siskindale.models.wire import StatementRequest
-from siskindale.pool.effects import BundleAdopted, DirectoryChanged, RequestArrived
+from siskindale.pool.effects import (
+    BundleAdopted,
+    ConnectionFailed,
+    DirectoryChanged,
+    RequestArrived,
+)
 from siskindale.pool.systems import acknowledgement, admission, connections, discovery, freshness
 from siskindale.pool.systems import idempotency as keyed
 from siskindale.pool.tables import Phase, QueueRow
+from siskindale.targets.interface import TargetError, TargetFailure
 from tests.pool.oracle import Asked
 from tests.pool.world import CLASSES, Flight, World
 
@@ -302,3 +308,18 @@
     assert request.phase is Phase.ENDED
     assert acknowledgement.superseded(group) == []
     assert not group.later_terms
+
+
+def test_request_is_refused_where_other_pools_hold_all_connections(world: World) -> None:
+    """Guards against waiting until the deadline at a substitute that gets no connection."""
+    tables = world.pools[0]
+    primary = tables.groups["g"].primary
+    assert primary is not None
+    for connection in list(primary.open.values()):
+        connections.close(tables, connection)
+    asked = world.write(0, 0)
+    assert outcome(asked) is None
+    error = TargetError(TargetFailure.LIMIT, "all connections are in use")
+    primary.opening += 1
+    world.step(0, ConnectionFailed(primary, error))
+    assert refusal(asked) is RefusalKind.UNAVAILABLE
