--- a/siskindale/models/bundle.py
+++ b/siskindale/models/bundle.py
@@ -95,8 +95,8 @@
     """Intervals and limits in milliseconds."""
 
     probe_interval_ms: int = 150
-    probe_timeout_ms: int = 300
-    loss_after_ms: int = 600
+    probe_timeout_ms: int = 500
+    loss_after_ms: int = 750
     rank_delay_ms: int = 300
     promotion_interval_ms: int = 5_000
     sample_interval_ms: int = 50
--- a/siskindale/pool/systems/acknowledgement.py
+++ b/siskindale/pool/systems/acknowledgement.py
@@ -25,7 +25,7 @@
 WAIT_SPACING_S = 0.002
 # After this time the other replicas are asked too.
 HEDGE_S = 0.02
-PROBE_TIMEOUT_S = 0.3
+PROBE_TIMEOUT_S = 0.5
 WAIT_TIMEOUT_S = 1.0
 POSITION_ONLY = frozenset({Stage.WRITE, Stage.KEY_RECORD, Stage.COMMIT})
 
--- a/siskindale/pool/systems/discovery.py
+++ b/siskindale/pool/systems/discovery.py
@@ -24,7 +24,7 @@
 # While batches or confirmations take long, the primary may be lost.
 POLL_SUSPICIOUS_S = 0.25
 POLL_UNSETTLED_S = 0.05
-POLL_TIMEOUT_S = 0.3
+POLL_TIMEOUT_S = 0.5
 NOTICE_HOLD_S = 2.0
 SUBSTITUTE_S = 30.0
 REPORT_INTERVAL_S = 0.1
--- a/siskindale/pool/systems/freshness.py
+++ b/siskindale/pool/systems/freshness.py
@@ -14,7 +14,7 @@
 )
 from siskindale.targets.interface import BatchResult
 
-SAMPLE_TIMEOUT_S = 0.3
+SAMPLE_TIMEOUT_S = 0.5
 # Bounds the samples that acknowledged writes add under load.
 MIN_SAMPLE_SPACING_S = 0.01
 # Enough for replicas that lag by 10 s, at the smallest spacing.
--- a/tests/config/test_checks.py
+++ b/tests/config/test_checks.py
@@ -82,7 +82,7 @@
         ({"read_rules": (ReadRule("club", "filings", 1),) * 2}, "$.read_rules[1]: rule"),
         ({"retry_budget": 1.5}, "$.retry_budget: is 1.5; expected 0 to 1"),
         ({"durations": Durations(probe_interval_ms=-5)}, "probe_interval_ms: is -5; expected 1"),
-        ({"durations": Durations(probe_timeout_ms=600)}, "expected less than loss_after_ms"),
+        ({"durations": Durations(probe_timeout_ms=750)}, "expected less than loss_after_ms"),
         ({"durations": Durations(head_poll_ms=5000)}, "less than head_confirmation_limit_ms"),
         ({"durations": Durations(head_confirmation_limit_ms=9000)}, "expected at most the promis"),
     ],
