--- a/siskindale/controller/program.py
+++ b/siskindale/controller/program.py
@@ -1,11 +1,9 @@
 """The controller as a service: effects of the systems out, answers and messages in."""
 
-import importlib
 from collections.abc import Mapping, Sequence
 from typing import Any
 
 import gevent
-from gevent.event import Event
 
 from siskindale.controller import decisions, metrics
 from siskindale.controller.effects import (
@@ -20,7 +18,7 @@
 from siskindale.controller.probes import Store, Targets
 from siskindale.controller.systems import assignment, detection, probing, terms
 from siskindale.controller.tables import Tables
-from siskindale.membership.assignment import Assignment
+from siskindale.membership.assignment import Assignment, Reassignment
 from siskindale.models.bundle import Bundle
 from siskindale.models.group import TargetStatus
 from siskindale.models.wire import GroupNotice, PrimaryReport, SightReply, SightRequest
@@ -28,21 +26,14 @@
 from siskindale.runtime.health import Report
 from siskindale.runtime.logs import logger
 from siskindale.runtime.loop import TickLoop
-from siskindale.runtime.program import Parts
-from siskindale.targets.interface import TARGET_DRIVERS, TargetDriver, TargetError
+from siskindale.runtime.program import Parts, load_driver
+from siskindale.targets.interface import TargetDriver, TargetError
 from siskindale.transport.mailbox import Delivery
 
 DRAIN_POLL_S = 0.02
 HOUSEKEEPING_S = 1.0
 
 
-def load_driver(parts: Parts) -> TargetDriver:
-    """Returns the target driver that the settings name."""
-    name = parts.settings.controller.target_driver
-    importlib.import_module(f"siskindale.targets.{name}")
-    return TARGET_DRIVERS.get(name)("controllers", parts.settings.vm)
-
-
 class ControllerService:
     """Connects the decisions to the targets, the store, the mailbox and the directory."""
 
@@ -53,15 +44,17 @@
         self._ranks: dict[str, tuple[str, ...]] = {}
         self._assigned = False
         self._loop = TickLoop(self._tick, self._clock)
-        self._targets = Targets(driver or load_driver(parts), self._clock, self._on_target)
+        self._targets = Targets(
+            driver or load_driver(parts, "controllers"), self._clock, self._on_target
+        )
         self._store = Store(parts.platform.tables, self._on_read, self._on_commit)
         self._assignment = Assignment(parts.directory)
-        self._reassign = Event()
+        self._reassignment = Reassignment(self._assign)
         parts.mailbox.on(SightRequest, self._on_sight_request)
         parts.mailbox.on(SightReply, self._on_sight_reply)
         parts.mailbox.on(GroupNotice, self._on_notice)
         parts.mailbox.on(PrimaryReport, self._on_report)
-        parts.directory.subscribe(self._reassign.set)
+        parts.directory.subscribe(self._reassignment.request)
         parts.bundles.subscribe(self._on_bundle)
 
     @property
@@ -76,7 +69,7 @@
     def start(self) -> None:
         """Starts the loop."""
         self._loop.start()
-        gevent.spawn(self._assign_forever)
+        self._reassignment.start()
         gevent.spawn(self._keep_house)
 
     def drain(self) -> None:
@@ -159,16 +152,7 @@
         self._loop.wake()
 
     def _on_bundle(self, bundle: Bundle) -> None:
-        self._reassign.set()
-
-    def _assign_forever(self) -> None:
-        while True:
-            self._reassign.wait()
-            self._reassign.clear()
-            try:
-                self._assign()
-            except Exception:
-                logger().exception("assignment-failed")
+        self._reassignment.request()
 
     def _assign(self) -> None:
         bundle, directory = self._parts.bundles.current, self._parts.directory
--- a/siskindale/pool/program.py
+++ b/siskindale/pool/program.py
@@ -1,14 +1,12 @@
 """The pool as a service: messages and completions in, effects out, one tick for all of them."""
 
-import importlib
 import itertools
 from collections.abc import Mapping, Sequence
 from typing import Any
 
 import gevent
-from gevent.event import Event as GeventEvent
 
-from siskindale.membership.assignment import CONTROLLERS, Assignment
+from siskindale.membership.assignment import CONTROLLERS, Assignment, Reassignment
 from siskindale.models.bundle import Bundle
 from siskindale.models.outcomes import Outcome, Refusal
 from siskindale.models.wire import (
@@ -39,8 +37,8 @@
 from siskindale.runtime.health import Report
 from siskindale.runtime.logs import logger
 from siskindale.runtime.loop import TickLoop
-from siskindale.runtime.program import Parts
-from siskindale.targets.interface import TARGET_DRIVERS, TargetDriver
+from siskindale.runtime.program import Parts, load_driver
+from siskindale.targets.interface import TargetDriver
 from siskindale.transport.mailbox import Delivery
 
 DRAIN_POLL_S = 0.02
@@ -54,13 +52,6 @@
     logger().error("decision-failed", exc_info=error)
 
 
-def load_driver(parts: Parts) -> TargetDriver:
-    """Returns the target driver that the settings name."""
-    name = parts.settings.pool.target_driver
-    importlib.import_module(f"siskindale.targets.{name}")
-    return TARGET_DRIVERS.get(name)("pools", parts.settings.vm)
-
-
 class PoolService:
     """Connects the decisions to the mailbox, the targets, the bundle and the directory."""
 
@@ -70,13 +61,13 @@
         self._tables = Tables(settings=parts.settings, boot=parts.mailbox.boot)
         self._events: list[Event] = []
         self._loop = TickLoop(self._tick, self._clock)
-        self._workers = Workers(driver or load_driver(parts), self._clock, self._report)
+        self._workers = Workers(driver or load_driver(parts, "pools"), self._clock, self._report)
         self._assignment = Assignment(parts.directory)
-        self._reassign = GeventEvent()
+        self._reassignment = Reassignment(self._assign)
         for kind in REQUESTS:
             parts.mailbox.on(kind, self._on_request)
         parts.mailbox.on(GroupNotice, self._on_notice)
-        parts.directory.subscribe(self._reassign.set)
+        parts.directory.subscribe(self._reassignment.request)
         parts.bundles.subscribe(self._on_bundle)
 
     @property
@@ -96,7 +87,7 @@
     def start(self) -> None:
         """Starts the loop."""
         self._loop.start()
-        gevent.spawn(self._assign_forever)
+        self._reassignment.start()
         gevent.spawn(self._keep_house)
 
     def drain(self) -> None:
@@ -113,7 +104,7 @@
         self._report(GroupNoticed(delivery.body.group, delivery.body.term))
 
     def _on_bundle(self, bundle: Bundle) -> None:
-        self._reassign.set()
+        self._reassignment.request()
 
     def _report(self, event: Event) -> None:
         self._events.append(event)
@@ -166,15 +157,6 @@
             detail=refusal.detail,
         )
 
-    def _assign_forever(self) -> None:
-        while True:
-            self._reassign.wait()
-            self._reassign.clear()
-            try:
-                self._assign()
-            except Exception:
-                logger().exception("assignment-failed")
-
     def _assign(self) -> None:
         """Ranks the pools before the bundle is adopted, so that new groups have their ranks."""
         bundle = self._parts.bundles.current
--- a/siskindale/runtime/program.py
+++ b/siskindale/runtime/program.py
@@ -1,6 +1,7 @@
 """Skeleton of the three programs: platform, directory, mailbox, bundle, health and drain."""
 
 import enum
+import importlib
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol
 
@@ -27,6 +28,7 @@
 from siskindale.runtime.commands import print_errors
 from siskindale.runtime.health import Report, health_server
 from siskindale.runtime.shutdown import Shutdown
+from siskindale.targets.interface import TARGET_DRIVERS, TargetDriver
 from siskindale.transport.mailbox import Delivery, Mailbox
 
 # Sockets send in the background: messages queued just before the exit need this time to leave.
@@ -184,6 +186,16 @@
     return {**own, STATUS_PATH: lambda: {**status(parts), **added()}}
 
 
+def load_driver(parts: Parts, client_kind: str) -> TargetDriver:
+    """Returns the target driver that the program's settings name.
+
+    `client_kind` tells targets which kind of program connects.
+    """
+    name = parts.section.target_driver  # type: ignore[union-attr]
+    importlib.import_module(f"siskindale.targets.{name}")
+    return TARGET_DRIVERS.get(name)(client_kind, parts.settings.vm)
+
+
 def _run(parts: Parts, build: Build) -> ExitStatus:
     service = build(parts)
     health = health_server(
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -3,9 +3,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from siskindale.membership.assignment import Assignment
 from siskindale.membership.directory import Member, from_row, to_row
 from siskindale.membership.rendezvous import rank
 from siskindale.models.settings import Address
+from tests.fakes.settings import bundle
 
 DOMAINS = ("smolyan", "chepelare", "devin")
 
@@ -37,3 +39,20 @@
     domains = {m.failure_domain for m in members}
     first = rank(group, members)[: len(domains)]
     assert {m.failure_domain for m in first} == domains
+
+
+class _View:
+    """Directory whose members a test sets."""
+
+    members: list[Member]
+
+
+@given(st.lists(st.sets(st.integers(0, 30), min_size=1), min_size=1, max_size=6))
+def test_ranks_after_changes_are_those_of_a_fresh_start(views: list[set[int]]) -> None:
+    """Guards against programs that differ in their ranks because of how the members changed."""
+    directory = _View()
+    kept = Assignment(directory)  # type: ignore[arg-type]
+    for indexes in views:
+        directory.members = [member(index) for index in sorted(indexes)]
+        fresh = Assignment(directory)  # type: ignore[arg-type]
+        assert kept.rank(bundle()) == fresh.rank(bundle())
