--- a/bench/capacity/node.py
+++ b/bench/capacity/node.py
@@ -140,9 +140,7 @@
     @property
     def real_groups(self) -> list[str]:
         """Groups for which the VM is among the pools or the controllers."""
-        return [
-            group.name for group in self._bundle.groups if group.targets[0].data.host != sinks.HOST
-        ]
+        return [group.name for group in self._bundle.groups if self._is_watched(group.name)]
 
     def start(self) -> None:
         """Fills the platform, rolls the bundle and starts the three programs."""
@@ -248,8 +246,8 @@
     def _make_bundle(self, count: int) -> Bundle:
         names = [f"database-{index:04d}" for index in range(count)]
         groups = tuple(
-            self._real_group(name) if self._is_watched(name) else _named_group(name)
-            for name in names
+            self._real_group(name) if self._is_watched(name) else _named_group(name, index)
+            for index, name in enumerate(names)
         )
         callers = tuple(
             Caller(f"caller-{i:04d}", caller_hash(str(i)), (names[i % count],), ("class-1",))
@@ -265,12 +263,11 @@
         return start_group(self._processes, self._directory, name, DOMAINS[:3]).group
 
 
-def _named_group(name: str) -> Group:
-    closed = Address(sinks.HOST, 1)
-    return Group(
-        name,
-        tuple(
-            Target(f"{name}-{letter}", domain, closed, closed)
-            for letter, domain in zip("abc", DOMAINS, strict=False)
-        ),
+def _named_group(name: str, index: int) -> Group:
+    """Returns a group whose targets nobody reaches: each has an address of its own, all closed."""
+    host = f"127.1.{index // 250}.{index % 250 + 1}"
+    targets = (
+        Target(f"{name}-{letter}", domain, Address(host, 2 * n + 1), Address(host, 2 * n + 2))
+        for n, (letter, domain) in enumerate(zip("abc", DOMAINS, strict=False))
     )
+    return Group(name, tuple(targets))
