Count propagation from the audit row, and write down promises and measurements

Cause: bench rolls by the operators' command, which ends some tenths of a second after the acceptance, so propagation looked faster than it was.

--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -12,6 +12,8 @@
 from bench.cluster import PROGRAMS, Cluster, Vm, get
 from bench.experiment import DeploymentPlan
 from bench.processes import Processes
+from siskindale.bundles.rolling import read_audit
+from siskindale.platform.http import http_platform
 
 BOUND_S = 8.0
 SAMPLE_S = 0.02
@@ -63,7 +65,7 @@
     """Rolls one bundle; returns the seconds to the last program, counted from the acceptance."""
     bundle = attrs.evolve(cluster.bundle, version=cluster.bundle.version + 1)
     cluster.bundle = cluster.operators.roll(bundle)
-    accepted_at = time.monotonic()
+    accepted_at = _accepted_at(cluster, bundle.version)
     watchers = [
         gevent.spawn(_serving_at, vm, program, bundle.version) for vm, program in cluster.programs()
     ]
@@ -74,6 +76,14 @@
     return max(watcher.value for watcher in watchers) - accepted_at
 
 
+def _accepted_at(cluster: Cluster, version: int) -> float:
+    """Returns the time of the audit row; the operators' command ends noticeably later."""
+    row = read_audit(http_platform(cluster.platform.settings("bench")), version)
+    if row is None:
+        raise RuntimeError(f"version {version} has no audit row")
+    return time.monotonic() - (time.time() - row.at)
+
+
 def _serving_at(vm: Vm, program: str, version: int) -> float:
     """Returns the time at which the program was seen to serve by the version."""
     give_up = time.monotonic() + GIVE_UP_S
