Free the idle connections of a draining pool, and reconnect before a pool counts as silent

Successors found all connections taken. Change: reconnect within 100 ms; a draining pool closes idle connections; a refused connection is tried again after 0.2 s.

--- a/siskindale/pool/program.py
+++ b/siskindale/pool/program.py
@@ -93,6 +93,9 @@
     def drain(self) -> None:
         """Refuses new work and blocks until requests and transactions have ended."""
         self._tables.draining = True
+        for group in self._tables.groups.values():
+            self._tables.touch(group)
+        self._loop.wake()
         while self._tables.requests or self._tables.transactions or self._events:
             gevent.sleep(DRAIN_POLL_S)
         self._loop.stop()
--- a/siskindale/pool/systems/connections.py
+++ b/siskindale/pool/systems/connections.py
@@ -27,6 +27,8 @@
 MAX_OPENING = 4
 OPEN_RETRY_MIN_S = 0.05
 OPEN_RETRY_MAX_S = 1.0
+# Pools that hand over free their connections within moments.
+LIMIT_RETRY_S = 0.2
 # A leaving primary works on until the planned promotion. The directory may notice the leaving only
 # after 2 s, and the target must get no new work after 3 s.
 LEAVING_PRIMARY_S = 0.8
@@ -159,7 +161,7 @@
     target.failures += 1
     delay = min(OPEN_RETRY_MAX_S, OPEN_RETRY_MIN_S * 2 ** min(target.failures, 8))
     if event.error.kind is TargetFailure.LIMIT:
-        delay = OPEN_RETRY_MAX_S
+        delay = LIMIT_RETRY_S
     target.open_after = now + delay * random.uniform(0.5, 1.0)
     timers.schedule(tables, target.open_after, TimerKind.OPEN, target.group)
     return []
@@ -168,8 +170,12 @@
 def maintain(tables: Tables, group: GroupRow, now: float) -> list[Effect]:
     """Opens missing connections in advance and closes idle ones that are not wanted."""
     effects: list[Effect] = []
+    queued = any(queue.live for lane in group.queues.values() for queue in lane.values())
     for target in group.targets.values():
         wanted = target.connections if allowed(tables, target, now) else 0
+        if tables.draining and not queued:
+            # The pool that takes over needs them; what is in progress keeps its own.
+            wanted = 0
         surplus = len(target.open) - wanted
         while surplus > 0 and target.idle:
             effects += close(tables, target.idle[-1])
--- a/siskindale/transport/mailbox.py
+++ b/siskindale/transport/mailbox.py
@@ -25,7 +25,8 @@
 OUTBOX_MESSAGES = 4096
 RECEIVE_BATCH = 256
 RECONNECT_MIN_MS = 20
-RECONNECT_MAX_MS = 500
+# Below the time after which a quiet pool counts as silent and its queue is dropped.
+RECONNECT_MAX_MS = 100
 RETRY_SEND_S = 0.002
 IDLE_OUTBOX_S = 120.0
 HOUSEKEEPING_S = 10.0
--- a/tests/pool/test_decisions.py
+++ b/tests/pool/test_decisions.py
@@ -323,3 +323,14 @@
     primary.opening += 1
     world.step(0, ConnectionFailed(primary, error))
     assert refusal(asked) is RefusalKind.UNAVAILABLE
+
+
+def test_draining_pool_frees_its_idle_connections(world: World) -> None:
+    """Guards against a successor that finds all connections of a target taken."""
+    tables = world.pools[0]
+    world.write(0, 0)
+    busy = [c for c in tables.connections.values() if c.busy]
+    tables.draining = True
+    tables.touch(tables.groups["g"])
+    world.step(0)
+    assert busy and list(tables.connections.values()) == busy
