--- a/bench/capacity/node.py
+++ b/bench/capacity/node.py
@@ -105,6 +105,7 @@
         probe_interval_ms=interval_ms,
         probe_timeout_ms=2 * interval_ms,
         loss_after_ms=4 * interval_ms,
+        promotion_interval_ms=max(5000, 8 * interval_ms),
     )
 
 
