Remove a hard-coded baseline figure and a second count of controllers

Cause: bench routing printed the share of a primary-only baseline that no run had produced, and the node measurement kept its own number of controllers per group.

--- a/bench/capacity/node.py
+++ b/bench/capacity/node.py
@@ -19,6 +19,7 @@
 from bench.deployment import PlatformStandin, start_group, start_platform
 from bench.operators import Operators, caller_hash
 from bench.processes import Process, Processes, free_ports, wait_until
+from siskindale.membership.assignment import CONTROLLERS
 from siskindale.membership.directory import MEMBERS, to_row
 from siskindale.membership.rendezvous import rank
 from siskindale.models.bundle import (
@@ -45,7 +46,6 @@
 REAL_VM = "vm-0000"
 DOMAINS = tuple(f"domain-{index}" for index in range(6))
 SINKS = 64
-CONTROLLERS_PER_GROUP = 3
 READY_S = 60.0
 SETTLE_S = 10.0
 CALLERS_PER_GROUP = 2
@@ -257,7 +257,7 @@
         return Bundle(1, groups, CLASSES, callers, durations=self._durations)
 
     def _is_watched(self, group: str) -> bool:
-        first = rank(group, self._members)[:CONTROLLERS_PER_GROUP]
+        first = rank(group, self._members)[:CONTROLLERS]
         return any(member.vm == REAL_VM for member in first)
 
     def _real_group(self, name: str) -> Group:
--- a/bench/commands.py
+++ b/bench/commands.py
@@ -76,7 +76,7 @@
         found.append(result)
         print(
             f"{name}, lag {lag:g} ms: {result.share:.1%} of {result.reads} reads on replicas, "
-            f"{result.of_oracle:.1%} of the oracle's {result.eligible}; primary only: 0.0%; "
+            f"{result.of_oracle:.1%} of the oracle's {result.eligible}; "
             f"round robin: 100.0%, {result.round_robin_broken} of {result.round_robin_reads} "
             "reads miss an own write",
             flush=True,
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -67,7 +67,6 @@
     on_replicas: int
     eligible: int
     eligible_served: int
-    primary_only_on_replicas: int
     round_robin_reads: int
     round_robin_broken: int
 
@@ -109,7 +108,6 @@
         sum(e.role == "replica" for e in reads),
         len(eligible),
         sum(e.role == "replica" for e in eligible),
-        0,
         baseline.reads,
         baseline.broken,
     )
