--- a/bench/capacity/node.py
+++ b/bench/capacity/node.py
@@ -40,8 +40,8 @@
     SessionKey,
     Settings,
 )
-from siskindale.platform.http import http_platform
-from siskindale.platform.interface import Write
+from siskindale.store.http import http_platform
+from siskindale.store.interface import Write
 
 REAL_VM = "vm-0000"
 DOMAINS = tuple(f"domain-{index}" for index in range(6))
--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -13,7 +13,7 @@
 from bench.experiment import DeploymentPlan
 from bench.processes import Processes
 from siskindale.bundles.rolling import read_audit
-from siskindale.platform.http import http_platform
+from siskindale.store.http import http_platform
 
 BOUND_S = 8.0
 SAMPLE_S = 0.02
--- a/features/steps/bundles.py
+++ b/features/steps/bundles.py
@@ -10,7 +10,7 @@
 from siskindale.bundles.rolling import Accepted, Roller, RollRequest
 from siskindale.models.bundle import SignedBundle
 from siskindale.models.wire import HeadNotice
-from siskindale.platform.interface import Write
+from siskindale.store.interface import Write
 from tests.bundles.test_following import Deployment
 from tests.fakes.settings import bundle, signed
 
--- a/siskindale/bundles/audit.py
+++ b/siskindale/bundles/audit.py
@@ -13,7 +13,7 @@
 
 from siskindale.bundles.signing import digest_of
 from siskindale.config.findings import Finding
-from siskindale.platform.interface import Row
+from siskindale.store.interface import Row
 
 AUDIT_TABLE = "audit"
 KEY_DIGITS = 12
--- a/siskindale/bundles/following.py
+++ b/siskindale/bundles/following.py
@@ -20,8 +20,8 @@
 from siskindale.models.bundle import Bundle, Durations
 from siskindale.models.settings import Settings
 from siskindale.models.wire import HeadNotice, HeadRequest
-from siskindale.platform.interface import Platform, PlatformError
 from siskindale.runtime.logs import logger
+from siskindale.store.interface import Platform, PlatformError
 from siskindale.transport.mailbox import Delivery, Mailbox
 
 HEAD_TABLE = "bundle_head"
--- a/siskindale/bundles/rolling.py
+++ b/siskindale/bundles/rolling.py
@@ -18,7 +18,7 @@
 from siskindale.bundles.signing import canonical, digest_of
 from siskindale.context import Clock
 from siskindale.models.bundle import SignedBundle
-from siskindale.platform.interface import (
+from siskindale.store.interface import (
     Condition,
     Platform,
     PlatformError,
--- a/siskindale/cli/session.py
+++ b/siskindale/cli/session.py
@@ -15,8 +15,8 @@
 from siskindale.models.bundle import SignedBundle
 from siskindale.models.settings import Settings
 from siskindale.output.listing import FORMATTERS, Listing
-from siskindale.platform.connecting import connect
-from siskindale.platform.interface import Platform, PlatformError
+from siskindale.store.connecting import connect
+from siskindale.store.interface import Platform, PlatformError
 
 
 class CommandError(Exception):
--- a/siskindale/config/settings_rules.py
+++ b/siskindale/config/settings_rules.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Iterator
 
-import siskindale.platform.http
+import siskindale.store.http
 import siskindale.targets.http  # noqa: F401 - registers the drivers
 from siskindale.config.rules import (
     SETTINGS_CHECKS,
@@ -18,7 +18,7 @@
 )
 from siskindale.config.structuring import suggest
 from siskindale.models.settings import Address, Settings
-from siskindale.platform.interface import PLATFORM_DRIVERS
+from siskindale.store.interface import PLATFORM_DRIVERS
 from siskindale.targets.interface import TARGET_DRIVERS
 
 SECRET_BYTES = 32
--- a/siskindale/context.py
+++ b/siskindale/context.py
@@ -32,6 +32,17 @@
         return time.time()
 
 
+class SuspendAwareClock(SystemClock):
+    """Clock whose monotonic time also runs while the machine is suspended.
+
+    Ages that prove something must count that time.
+    """
+
+    def monotonic(self) -> float:
+        """Seconds since the boot of the machine."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @attrs.define
 class Environment:
     """What a program takes from its surroundings; tests replace each part."""
--- a/siskindale/controller/effects.py
+++ b/siskindale/controller/effects.py
@@ -6,7 +6,7 @@
 import attrs
 
 from siskindale.models.bundle import Target
-from siskindale.platform.interface import Condition, Write
+from siskindale.store.interface import Condition, Write
 
 
 class Operation(enum.StrEnum):
--- a/siskindale/controller/probes.py
+++ b/siskindale/controller/probes.py
@@ -10,7 +10,7 @@
 from siskindale.controller.systems.terms import TABLE
 from siskindale.models.bundle import Target
 from siskindale.models.group import TargetStatus
-from siskindale.platform.interface import PlatformFailure, Row, TableService
+from siskindale.store.interface import PlatformFailure, Row, TableService
 from siskindale.targets.interface import (
     ControlClient,
     TargetDriver,
--- a/siskindale/controller/program.py
+++ b/siskindale/controller/program.py
@@ -22,11 +22,11 @@
 from siskindale.models.bundle import Bundle
 from siskindale.models.group import TargetStatus
 from siskindale.models.wire import GroupNotice, PrimaryReport, SightReply, SightRequest
-from siskindale.platform.interface import PlatformFailure, Row
 from siskindale.runtime.health import Report
 from siskindale.runtime.logs import logger
 from siskindale.runtime.loop import TickLoop
 from siskindale.runtime.program import Parts, load_driver
+from siskindale.store.interface import PlatformFailure, Row
 from siskindale.targets.interface import TargetDriver, TargetError
 from siskindale.transport.mailbox import Delivery
 
--- a/siskindale/controller/systems/terms.py
+++ b/siskindale/controller/systems/terms.py
@@ -8,7 +8,7 @@
 
 from siskindale.controller.effects import CommitTerms, Effect, ReadTerms, Record
 from siskindale.controller.tables import ReservationStage, Tables, TermsRow
-from siskindale.platform.interface import Condition, PlatformFailure, Row, Write
+from siskindale.store.interface import Condition, PlatformFailure, Row, Write
 
 TABLE = "terms"
 RESERVED = 2
--- a/siskindale/membership/directory.py
+++ b/siskindale/membership/directory.py
@@ -13,8 +13,8 @@
 from siskindale.config.loader import structure
 from siskindale.models.member import Member
 from siskindale.models.settings import Settings
-from siskindale.platform.interface import Condition, Platform, PlatformFailure, Write
 from siskindale.runtime.logs import logger
+from siskindale.store.interface import Condition, Platform, PlatformFailure, Write
 
 MEMBERS = "members"
 REFRESH_S = 2.0
--- a/siskindale/membership/rendezvous.py
+++ b/siskindale/membership/rendezvous.py
@@ -1,10 +1,14 @@
 """Rendezvous hashing: each group ranks all VMs; a change of VMs moves only the groups it must."""
 
+from __future__ import annotations
+
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 import xxhash
 
-from siskindale.membership.directory import Member
+if TYPE_CHECKING:
+    from siskindale.models.member import Member
 
 
 def score(group: str, vm: str) -> int:
--- /dev/null
+++ b/siskindale/models/gossip.py
@@ -0,0 +1,60 @@
+"""Messages between the session proxies of a deployment."""
+
+from typing import Any
+
+import attrs
+
+from siskindale.models.wire import message
+
+
+@attrs.frozen
+class Loss:
+    """A primary that the sender does not reach; `refused` if its address refuses connections."""
+
+    group: str
+    target: str
+    refused: bool
+
+
+@message("gossip")
+@attrs.frozen
+class Gossip:
+    """State of a VM, sent regularly and at once after a change.
+
+    `targets_version` and `catalog_version` tell which versions of the store's tables it knows.
+    `wants_answer` asks for the receiver's own state, at the start of the sender.
+    """
+
+    vm: str
+    catalog_version: int
+    targets_version: int
+    losses: tuple[Loss, ...] = ()
+    draining: bool = False
+    wants_answer: bool = False
+    known: tuple[str, ...] = ()
+
+
+@message("state-request")
+@attrs.frozen
+class StateRequest:
+    """Asks for a `StateAnswer`, where the store does not answer or a peer knows more."""
+
+
+@message("state-answer")
+@attrs.frozen
+class StateAnswer:
+    """Contents of the store's tables as the sender knows them."""
+
+    catalog: dict[str, Any] | None
+    targets: dict[str, dict[str, Any]]
+    targets_version: int
+
+
+@message("promotion-notice")
+@attrs.frozen
+class PromotionNotice:
+    """The holder of the failover duty has ordered that `target` becomes the primary."""
+
+    group: str
+    target: str
+    fencing_token: int
--- /dev/null
+++ b/siskindale/models/statements.py
@@ -0,0 +1,102 @@
+"""Statements of client sessions and the replies to them."""
+
+import enum
+
+import attrs
+
+from siskindale.models.group import LogPosition
+
+
+class Verb(enum.Enum):
+    """What a statement does."""
+
+    BEGIN = "begin"
+    BEGIN_READ_ONLY = "begin-read-only"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    READ = "read"
+    WRITE = "write"
+    SET = "set"
+    PREPARE = "prepare"
+    EXECUTE = "execute"
+    DEALLOCATE = "deallocate"
+    INVALID = "invalid"
+
+
+class Access(enum.Enum):
+    """Whether a statement reads or writes."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class SessionState(enum.Enum):
+    """Transaction state of a session; a failed transaction can only be ended."""
+
+    IDLE = "idle"
+    OPEN = "open"
+    FAILED = "failed"
+
+
+class ErrorCode(enum.Enum):
+    """Errors that a target or the proxy reports for a statement."""
+
+    OVERLOADED = "overloaded"
+    ABORTED = "aborted"
+    LAGGING = "lagging"
+    READ_ONLY = "read-only"
+    WRONG_TARGET = "wrong-target"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    FAILED = "failed"
+    UNKNOWN_PREPARED = "unknown-prepared"
+    TIMEOUT = "timeout"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_DATABASE = "unknown-database"
+    TOO_LARGE = "too-large"
+    MALFORMED = "malformed"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+
+
+@attrs.frozen
+class Statement:
+    """One statement of a client.
+
+    `text` is what the client sent. `name` is a session value or a prepared statement, `argument`
+    the rest: the value, the shape of a prepared statement, or the arguments of an execution.
+    """
+
+    request_id: bytes
+    verb: Verb
+    text: bytes
+    name: bytes = b""
+    argument: bytes = b""
+    access: Access | None = None
+
+
+@attrs.frozen
+class Prepared:
+    """A prepared statement; equal ones share a name on the connections to targets."""
+
+    access: Access
+    shape: bytes
+
+
+@attrs.define
+class Reply:
+    """Complete reply of a target or of the proxy to one statement.
+
+    `rows` and `receipt` are passed on unchanged. `position` is the end of the target's log when it
+    replied, absent in the proxy's own replies.
+    """
+
+    rows: list[bytes] = attrs.field(factory=list)
+    receipt: bytes | None = None
+    error: ErrorCode | None = None
+    detail: bytes = b""
+    state: SessionState = SessionState.IDLE
+    position: LogPosition | None = None
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the statement was completed."""
+        return self.error is None and self.receipt is not None
--- /dev/null
+++ b/siskindale/models/vm.py
@@ -0,0 +1,27 @@
+"""Settings of a VM that runs the session proxy."""
+
+import attrs
+
+from siskindale.models.settings import Address
+
+
+@attrs.frozen
+class ProxySettings:
+    """What the session proxy of one VM knows at its start.
+
+    `seeds` are addresses of a few peers, which may be stale. `drain_s` is how long a target serves
+    after it was reported as leaving, `grace_s` the time between SIGTERM and SIGKILL.
+    """
+
+    vm: str
+    failure_domain: str
+    clients: Address
+    readiness: Address
+    peers: Address
+    store: Address
+    promotions: Address
+    seeds: tuple[Address, ...] = ()
+    drain_s: float = 7.0
+    grace_s: float = 6.0
+    metrics_port: int = 9464
+    log_level: str = "info"
--- a/siskindale/platform/__init__.py
+++ b/siskindale/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Access to the table service, the object store and the live list of the platform."""
+"""Adapter to the users' platform: translates its protocols and names into the product's types."""
--- /dev/null
+++ b/siskindale/platform/store.py
@@ -0,0 +1,156 @@
+"""Client of the platform's store, as tables whose changes can be awaited."""
+
+import base64
+import json
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+from returns.result import Failure, Result, Success
+
+from siskindale.models.settings import Address
+from siskindale.store.interface import (
+    Changes,
+    Condition,
+    PlatformError,
+    PlatformFailure,
+    Row,
+    Write,
+)
+from siskindale.transport.http import HttpClient, HttpResponse
+from siskindale.transport.metrics import Purpose
+
+# A call of the store takes about 4 ms; the limit leaves room for a store that is 60 times slower.
+CALL_TIMEOUT_S = 1.0
+# Beyond the time for which a watch may wait.
+WATCH_SLACK_S = 1.0
+PAGE_ROWS = 500
+
+_FAILURES = {
+    404: PlatformFailure.UNAVAILABLE,
+    410: PlatformFailure.HISTORY_LOST,
+    412: PlatformFailure.CONFLICT,
+    429: PlatformFailure.UNAVAILABLE,
+    503: PlatformFailure.UNAVAILABLE,
+}
+
+
+class PlatformStore:
+    """Rows of the platform's store; values are JSON objects."""
+
+    def __init__(self, address: Address) -> None:
+        headers = {"Content-Type": "application/json"}
+        self._client = HttpClient(address, headers, Purpose.PLATFORM)
+
+    def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
+        """Returns the present row, None where it is absent."""
+        # The field `target` is the end of the range of keys, which is exclusive.
+        query = {"table": table, "part": "", "from": key, "target": key + "\x00", "limit": 1}
+        found = self._get("/v1/rows-get", query, CALL_TIMEOUT_S)
+        return found.map(lambda changes: changes.rows[0] if changes.rows else None)
+
+    def snapshot(self, table: str) -> Result[Changes, PlatformError]:
+        """Returns all rows of a table as of one version."""
+        query: dict[str, Any] = {"table": table, "part": "", "limit": PAGE_ROWS}
+        rows: list[Row] = []
+        version = 0
+        while True:
+            answer = self._call("GET", f"/v1/rows-get?{urlencode(query)}", b"", CALL_TIMEOUT_S)
+            page = answer.bind(lambda body: _changes(table, body))
+            if isinstance(page, Failure):
+                return page
+            rows += page.unwrap().rows
+            # Changes between two pages are seen again from the version of the first page on.
+            version = version or page.unwrap().version
+            if not answer.unwrap().get("has_more") or not page.unwrap().rows:
+                return Success(Changes(tuple(rows), version))
+            query["from"] = rows[-1].key + "\x00"
+
+    def watch(self, table: str, after: int, wait_s: float) -> Result[Changes, PlatformError]:
+        """Waits up to `wait_s` for changes; `HISTORY_LOST` calls for a new snapshot."""
+        query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+        return self._get("/v1/rows-feed", query, wait_s + WATCH_SLACK_S)
+
+    def commit(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> Result[int, PlatformError]:
+        """Applies all writes in one transaction if all conditions hold; returns the new version."""
+        body = {
+            "expected": [{**_key(row.table, row.key), "ver": row.version} for row in conditions],
+            "put_rows": [
+                {**_key(row.table, row.key), "value": _encode(row.value)}
+                for row in writes
+                if row.value is not None
+            ],
+            "remove": [_key(row.table, row.key) for row in writes if row.value is None],
+        }
+        answer = self._call("POST", "/v1/rows-tx", json.dumps(body).encode(), CALL_TIMEOUT_S)
+        return answer.bind(_version)
+
+    def _get(
+        self, path: str, query: dict[str, Any], timeout_s: float
+    ) -> Result[Changes, PlatformError]:
+        answer = self._call("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
+        return answer.bind(lambda body: _changes(str(query["table"]), body))
+
+    def _call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> Result[dict[str, Any], PlatformError]:
+        exchanged = self._client.request(method, path, body, timeout_s)
+        if isinstance(exchanged, Failure):
+            failure = exchanged.failure()
+            kind = PlatformFailure.UNKNOWN if failure.sent else PlatformFailure.UNAVAILABLE
+            return Failure(PlatformError(kind, failure.detail))
+        response = exchanged.unwrap()
+        if response.status == 200:
+            return _decode_body(response)
+        kind = _FAILURES.get(response.status, PlatformFailure.UNKNOWN)
+        return Failure(PlatformError(kind, f"{path.partition('?')[0]}: status {response.status}"))
+
+
+def _key(table: str, key: str) -> dict[str, str]:
+    return {"table": table, "part": "", "key": key}
+
+
+def _encode(value: dict[str, Any]) -> str:
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+def _decode_body(response: HttpResponse) -> Result[dict[str, Any], PlatformError]:
+    try:
+        body = json.loads(response.body)
+    except ValueError as error:
+        return Failure(PlatformError(PlatformFailure.UNKNOWN, f"malformed response: {error}"))
+    if not isinstance(body, dict):
+        return Failure(PlatformError(PlatformFailure.UNKNOWN, "response is not an object"))
+    return Success(body)
+
+
+def _version(body: dict[str, Any]) -> Result[int, PlatformError]:
+    version = body.get("ver")
+    if type(version) is int:
+        return Success(version)
+    return Failure(PlatformError(PlatformFailure.UNKNOWN, "response has no version"))
+
+
+def _changes(table: str, body: dict[str, Any]) -> Result[Changes, PlatformError]:
+    rows = [_row(table, row) for row in body.get("rows") or ()]
+    return _version(body).map(lambda version: Changes(tuple(rows), version))
+
+
+def _row(table: str, raw: dict[str, Any]) -> Row:
+    deleted = bool(raw.get("deleted"))
+    value = {} if deleted else _value(raw.get("value"))
+    return Row(table, str(raw.get("key")), int(raw.get("ver") or 0), value, deleted)
+
+
+def _value(encoded: Any) -> dict[str, Any]:
+    """Returns the value of a row; what cannot be decoded becomes an empty object.
+
+    Other writers may leave any bytes in a row, and decoders of entries report what is missing.
+    """
+    try:
+        value = json.loads(base64.b64decode(encoded, validate=True))
+    except (ValueError, TypeError, RecursionError):
+        return {}
+    return value if isinstance(value, dict) else {}
--- /dev/null
+++ b/siskindale/platform/wire.py
@@ -0,0 +1,269 @@
+"""Session protocol of clients and targets: lines of a word and fields, ended by CR LF."""
+
+from gevent import socket
+
+from siskindale.models.group import LogPosition
+from siskindale.models.statements import (
+    Access,
+    ErrorCode,
+    Prepared,
+    Reply,
+    SessionState,
+    Statement,
+    Verb,
+)
+
+MAX_MESSAGE_BYTES = 1 << 20
+READ_BYTES = 1 << 16
+# Statements of the proxy itself carry this id; it also stands for an absent position or receipt.
+NO_ID = b"-"
+CLOSE = b"CLOSE\r\n"
+
+_ERRORS = {
+    b"BUSY": ErrorCode.OVERLOADED,
+    b"ABORTED": ErrorCode.ABORTED,
+    b"LAGGING": ErrorCode.LAGGING,
+    b"READONLY": ErrorCode.READ_ONLY,
+    b"MISROUTED": ErrorCode.WRONG_TARGET,
+    b"TOOMANY": ErrorCode.TOO_MANY_CONNECTIONS,
+    b"FAILED": ErrorCode.FAILED,
+    b"NOSTMT": ErrorCode.UNKNOWN_PREPARED,
+    b"TIMEOUT": ErrorCode.TIMEOUT,
+    b"NOAUTH": ErrorCode.UNAUTHORIZED,
+    b"NODB": ErrorCode.UNKNOWN_DATABASE,
+    b"TOOBIG": ErrorCode.TOO_LARGE,
+    b"MALFORMED": ErrorCode.MALFORMED,
+    b"UNKNOWN": ErrorCode.OUTCOME_UNKNOWN,
+}
+_ERROR_WORDS = {code: word for word, code in _ERRORS.items()}
+_STATES = {b"I": SessionState.IDLE, b"T": SessionState.OPEN, b"E": SessionState.FAILED}
+_STATE_WORDS = {state: word for word, state in _STATES.items()}
+_ACCESS = {b"READ": Access.READ, b"WRITE": Access.WRITE}
+_ACCESS_WORDS = {access: word for word, access in _ACCESS.items()}
+
+
+class ProtocolError(Exception):
+    """The other side sent what the protocol does not allow."""
+
+
+class LineReader:
+    """Reads lines from a socket, however they are split over segments."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+        self._buffer = bytearray()
+
+    @property
+    def buffered(self) -> bool:
+        """Whether bytes have arrived that no line was read from."""
+        return bool(self._buffer)
+
+    def line(self) -> bytes | None:
+        """Returns the next line without its end, None at the end of the stream.
+
+        Raises `OSError` of the socket, and `ProtocolError` for a line over `MAX_MESSAGE_BYTES`.
+        """
+        searched = 0
+        while True:
+            end = self._buffer.find(b"\r\n", max(0, searched - 1))
+            if end >= 0:
+                line = bytes(self._buffer[:end])
+                del self._buffer[: end + 2]
+                return line
+            searched = len(self._buffer)
+            if searched > MAX_MESSAGE_BYTES:
+                raise ProtocolError("message is too long")
+            data = self._socket.recv(READ_BYTES)
+            if not data:
+                return None
+            self._buffer += data
+
+
+def decode_start(line: bytes) -> str:
+    """Returns the database that a client asks for."""
+    words = line.split(b" ")
+    if len(words) < 3 or words[0] != b"START":
+        raise ProtocolError("expected START")
+    try:
+        return words[1].decode("ascii")
+    except UnicodeDecodeError as error:
+        raise ProtocolError("name of the database is not ASCII") from error
+
+
+def decode_request(line: bytes) -> Statement | None:
+    """Returns a client's statement, None for the end of the session."""
+    if line == b"CLOSE" or line.startswith(b"CLOSE "):
+        return None
+    words = line.split(b" ", 2)
+    if len(words) != 3 or words[0] != b"QUERY" or not words[1] or words[1] == NO_ID:
+        raise ProtocolError("expected QUERY or CLOSE")
+    return _statement(words[1], words[2])
+
+
+def _statement(request_id: bytes, text: bytes) -> Statement:
+    word, _, rest = text.partition(b" ")
+    plain = _PLAIN.get(text)
+    if plain is not None:
+        return Statement(request_id, plain, text)
+    if word == b"READ" and rest:
+        return Statement(request_id, Verb.READ, text, argument=rest, access=Access.READ)
+    if word == b"WRITE" and rest:
+        return Statement(request_id, Verb.WRITE, text, argument=rest, access=Access.WRITE)
+    name, _, argument = rest.partition(b" ")
+    if word == b"SET" and name:
+        return Statement(request_id, Verb.SET, text, name, argument)
+    if word == b"EXEC" and name and argument:
+        return Statement(request_id, Verb.EXECUTE, text, name, argument)
+    if word == b"DEALLOC" and name and not argument:
+        return Statement(request_id, Verb.DEALLOCATE, text, name)
+    access, _, shape = argument.partition(b" ")
+    if word == b"PREPARE" and name and access in _ACCESS and shape:
+        return Statement(request_id, Verb.PREPARE, text, name, shape, _ACCESS[access])
+    return Statement(request_id, Verb.INVALID, text)
+
+
+_PLAIN = {
+    b"BEGIN": Verb.BEGIN,
+    b"BEGIN READ": Verb.BEGIN_READ_ONLY,
+    b"COMMIT": Verb.COMMIT,
+    b"ROLLBACK": Verb.ROLLBACK,
+}
+
+
+def encode_ready(state: SessionState, position: LogPosition | None = None) -> bytes:
+    """Returns the message that ends each reply."""
+    return b"READY %b %b\r\n" % (_STATE_WORDS[state], _position(position))
+
+
+def encode_error(code: ErrorCode, detail: bytes) -> bytes:
+    """Returns an error message without the message that ends the reply."""
+    return b"ERR %b %b\r\n" % (_ERROR_WORDS[code], detail or b"-")
+
+
+def encode_reply(reply: Reply) -> bytes:
+    """Returns a whole reply to a client."""
+    if reply.error is not None:
+        return encode_error(reply.error, reply.detail) + encode_ready(reply.state, reply.position)
+    rows = b"".join(b"ROW %b\r\n" % row for row in reply.rows)
+    receipt = NO_ID if reply.receipt is None else reply.receipt
+    return rows + b"DONE %b\r\n" % receipt + encode_ready(reply.state, reply.position)
+
+
+def _position(position: LogPosition | None) -> bytes:
+    return NO_ID if position is None else b"%d.%d" % (position.term, position.position)
+
+
+def encode_start(group: str, target_id: str) -> bytes:
+    """Returns the opening message to a target, which refuses another group or id."""
+    return f"START {group} siskindale {target_id}\r\n".encode("ascii")
+
+
+def encode_statement(
+    statement: Statement, prepared_name: bytes = b"", minimum: LogPosition | None = None
+) -> bytes:
+    """Returns a client's statement for a target, with its id and text unchanged.
+
+    An execution uses `prepared_name`. A read with `minimum` runs only on a log that has it.
+    """
+    text = statement.text
+    if statement.verb is Verb.EXECUTE:
+        text = b"EXEC %b %b" % (prepared_name, statement.argument)
+    return _query(statement.request_id, text, minimum)
+
+
+def encode_begin(read_only: bool, minimum: LogPosition | None = None) -> bytes:
+    """Returns the start of a transaction, issued by the proxy."""
+    return _query(NO_ID, b"BEGIN READ" if read_only else b"BEGIN", minimum)
+
+
+def encode_rollback() -> bytes:
+    """Returns the end of a transaction, issued by the proxy."""
+    return _query(NO_ID, b"ROLLBACK")
+
+
+def encode_reset() -> bytes:
+    """Returns the statement that clears session values and prepared statements."""
+    return _query(NO_ID, b"RESET")
+
+
+def encode_set(name: bytes, value: bytes) -> bytes:
+    """Returns the statement that sets a session value."""
+    return _query(NO_ID, b"SET %b %b" % (name, value))
+
+
+def encode_prepare(name: bytes, prepared: Prepared) -> bytes:
+    """Returns the statement that prepares another one."""
+    access = _ACCESS_WORDS[prepared.access]
+    return _query(NO_ID, b"PREPARE %b %b %b" % (name, access, prepared.shape))
+
+
+def encode_status() -> bytes:
+    """Returns the request for a target's status; it takes a slot."""
+    return _query(NO_ID, b"STATUS")
+
+
+def _query(request_id: bytes, text: bytes, minimum: LogPosition | None = None) -> bytes:
+    if minimum is not None:
+        return b"QUERY %b AFTER %b %b\r\n" % (request_id, _position(minimum), text)
+    return b"QUERY %b %b\r\n" % (request_id, text)
+
+
+def read_reply(reader: LineReader) -> Reply:
+    """Reads one whole reply of a target.
+
+    Raises `ConnectionError` where the stream ends before it, `ProtocolError` for anything else.
+    """
+    reply = Reply()
+    while True:
+        line = reader.line()
+        if line is None:
+            raise ConnectionError("connection was closed before the reply was complete")
+        word, _, rest = line.partition(b" ")
+        if word == b"ROW":
+            reply.rows.append(rest)
+        elif word == b"DONE":
+            reply.receipt = rest
+        elif word == b"ERR":
+            code, _, reply.detail = rest.partition(b" ")
+            reply.error = _ERRORS.get(code, ErrorCode.FAILED)
+        elif word == b"READY":
+            return _finish(reply, rest)
+        else:
+            raise ProtocolError(f"unexpected message {word[:20]!r}")
+
+
+def _finish(reply: Reply, rest: bytes) -> Reply:
+    state, _, position = rest.partition(b" ")
+    if state not in _STATES:
+        raise ProtocolError(f"unknown session state {state[:20]!r}")
+    reply.state = _STATES[state]
+    reply.position = decode_position(position)
+    return reply
+
+
+def read_started(reader: LineReader) -> Reply:
+    """Reads the reply to an opening message; after an error the target closes."""
+    line = reader.line()
+    if line is None:
+        raise ConnectionError("connection was closed before it was started")
+    word, _, rest = line.partition(b" ")
+    if word == b"READY":
+        return _finish(Reply(), rest)
+    if word != b"ERR":
+        raise ProtocolError(f"unexpected message {word[:20]!r}")
+    code, _, detail = rest.partition(b" ")
+    return Reply(error=_ERRORS.get(code, ErrorCode.FAILED), detail=detail)
+
+
+def decode_position(text: bytes) -> LogPosition | None:
+    """Returns a log position, None where there is none."""
+    term, dot, number = text.partition(b".")
+    if not dot or not term.isdigit() or not number.isdigit():
+        return None
+    return LogPosition(int(term), int(number))
+
+
+def decode_received(row: bytes) -> LogPosition | None:
+    """Returns the received position of a status row: role, term, position, and counters."""
+    fields = row.split(b" ")
+    return decode_position(fields[2]) if len(fields) > 2 else None
--- /dev/null
+++ b/siskindale/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Session proxy of a VM: client sessions, shared connections to targets, and failover."""
--- /dev/null
+++ b/siskindale/proxy/connection.py
@@ -0,0 +1,131 @@
+"""One connection to a target."""
+
+import socket as system_socket
+from collections.abc import Iterable
+
+import attrs
+import gevent
+from gevent import socket
+
+from siskindale.models.group import LogPosition
+from siskindale.models.statements import Reply, SessionState
+from siskindale.platform import wire
+from siskindale.proxy.decisions.session_state import (
+    ConnectionValues,
+    Prepare,
+    Reset,
+    SetValue,
+)
+from siskindale.proxy.tables import Target
+
+# Unacknowledged data ends the connection after this time, also where the peer sends no reset.
+USER_TIMEOUT_MS = 4000
+
+
+class ConnectRefusedError(Exception):
+    """Nothing listens at the target's address."""
+
+
+class StartRefusedError(Exception):
+    """The target refused the session; `reply` tells why."""
+
+    def __init__(self, reply: Reply) -> None:
+        super().__init__(str(reply.error))
+        self.reply = reply
+
+
+class ReplyTimeoutError(Exception):
+    """The target did not reply in time; the reply may still come."""
+
+
+@attrs.define(eq=False)
+class TargetConnection:
+    """A connection to `target`; used by one statement at a time."""
+
+    target: Target
+    _socket: socket.socket
+    _reader: wire.LineReader
+    values: ConnectionValues = attrs.field(factory=ConnectionValues)
+    used_at: float = 0.0
+    state: SessionState = SessionState.IDLE
+    closed: bool = False
+    outstanding: int = 0
+
+    @classmethod
+    def open(cls, target: Target, timeout_s: float) -> "TargetConnection":
+        """Opens a connection; raises `ConnectRefusedError`, `StartRefusedError` or `OSError`."""
+        address = target.entry.address
+        try:
+            sock = socket.create_connection((address.host, address.port), timeout_s)
+        except ConnectionRefusedError as error:
+            raise ConnectRefusedError(str(address)) from error
+        sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
+        sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        connection = cls(target, sock, wire.LineReader(sock))
+        try:
+            connection._start(timeout_s)
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+
+    @property
+    def fresh(self) -> bool:
+        """Whether the connection is open without unread input, so that a statement may be sent."""
+        if self.closed or self._reader.buffered or self.outstanding:
+            return False
+        try:
+            self._socket._sock.recv(1, system_socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Closes the connection; the target rolls an open transaction back."""
+        self.closed = True
+        self._socket.close()
+
+    def _start(self, timeout_s: float) -> None:
+        entry = self.target.entry
+        self._socket.settimeout(timeout_s)
+        self._socket.sendall(wire.encode_start(entry.group, entry.id))
+        reply = wire.read_started(self._reader)
+        if reply.error is not None:
+            raise StartRefusedError(reply)
+        self._socket.settimeout(None)
+
+    def send(self, messages: Iterable[bytes]) -> None:
+        """Sends messages in one flight; each one is answered by one reply."""
+        batch = list(messages)
+        self.outstanding += len(batch)
+        self._socket.sendall(b"".join(batch))
+
+    def receive(self, timeout_s: float) -> Reply:
+        """Reads the next reply; raises `ReplyTimeoutError`, `OSError` or `wire.ProtocolError`."""
+        with gevent.Timeout(max(timeout_s, 0.001), ReplyTimeoutError):
+            reply = wire.read_reply(self._reader)
+        self.outstanding -= 1
+        self.state = reply.state
+        return reply
+
+
+def encode_step(step: Reset | SetValue | Prepare) -> bytes:
+    """Returns the message for a step of `session_state.preparation`."""
+    if isinstance(step, SetValue):
+        return wire.encode_set(step.name, step.value)
+    if isinstance(step, Prepare):
+        return wire.encode_prepare(step.name, step.prepared)
+    return wire.encode_reset()
+
+
+def probe(connection: TargetConnection, timeout_s: float) -> LogPosition | None:
+    """Returns the end of the target's log if it is the primary, None if it is not.
+
+    Only a primary starts a transaction that may write, and starting one takes no slot.
+    """
+    connection.send([wire.encode_begin(read_only=False), wire.encode_rollback()])
+    begun = connection.receive(timeout_s)
+    connection.receive(timeout_s)
+    return begun.position if begun.succeeded else None
--- /dev/null
+++ b/siskindale/proxy/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the session proxy: functions over rows of its tables, without I/O."""
--- /dev/null
+++ b/siskindale/proxy/decisions/connections.py
@@ -0,0 +1,48 @@
+"""How many connections this VM holds to a target of which all VMs share the connections.
+
+Answers transactions that rest on their connection while the client pauses: a VM takes more than its
+even share while others leave theirs unused, and gives them back when they are idle.
+"""
+
+from siskindale.proxy.tables import Group, Target
+
+# Left to VMs that start, and to connections of lost VMs that the target has not dropped yet.
+RESERVED_CONNECTIONS = 2
+# Opening takes a slot for several statements' time, so idle connections are kept for a while.
+SURPLUS_IDLE_S = 1.5
+MAX_SHARE_FACTOR = 3
+WARM_REPLICA = 1
+WARM_PRIMARY = 2
+
+
+def even_share(max_connections: int, vms: int) -> int:
+    """Returns how many connections to a target each VM may always hold."""
+    return max(1, (max_connections - RESERVED_CONNECTIONS) // max(1, vms))
+
+
+def may_open(target: Target, group: Group, vms: int, now: float) -> bool:
+    """Tells whether a statement that waits may open one more connection."""
+    if target.closed or now < target.next_open_at:
+        return False
+    limit = min(
+        group.limits.max_connections,
+        even_share(group.limits.max_connections, vms) * MAX_SHARE_FACTOR,
+    )
+    return target.open_count + target.opening < limit
+
+
+def warm_count(target: Target, group: Group, vms: int) -> int:
+    """Returns how many connections to keep open without any load."""
+    if target.leaving and target.id != group.leadership.target:
+        return 0
+    wanted = WARM_PRIMARY if target.id == group.leadership.target else WARM_REPLICA
+    return min(wanted, even_share(group.limits.max_connections, vms))
+
+
+def surplus(target: Target, group: Group, vms: int, now: float) -> int:
+    """Returns how many idle connections to close."""
+    idle_long = sum(now - connection.used_at > SURPLUS_IDLE_S for connection in target.idle)
+    if target.closed or (target.leaving and target.id != group.leadership.target):
+        return len(target.idle)
+    share = even_share(group.limits.max_connections, vms)
+    return max(0, min(idle_long, target.open_count - share))
--- /dev/null
+++ b/siskindale/proxy/duty.py
@@ -0,0 +1,90 @@
+"""The failover duty: one VM at a time may order promotions, under a fencing token."""
+
+import uuid
+
+from returns.result import Failure
+
+from siskindale.models.vm import ProxySettings
+from siskindale.proxy import metrics
+from siskindale.runtime.logs import logger
+from siskindale.store.interface import Condition, PlatformFailure, WatchedTables, Write
+
+TABLE = "duties"
+KEY = "failover"
+
+
+class FailoverDuty:
+    """Holder of the duty as the store knows it; the version of its row is the fencing token."""
+
+    def __init__(self, settings: ProxySettings, tables: WatchedTables) -> None:
+        self._vm = settings.vm
+        self._boot = uuid.uuid4().hex
+        self._tables = tables
+        self._holder = ""
+        self._holder_boot = ""
+        self._version = 0
+        self._known = False
+
+    @property
+    def holder(self) -> str:
+        """VM that holds the duty, empty for none."""
+        return self._holder
+
+    @property
+    def known(self) -> bool:
+        """Whether the row has been read since the start."""
+        return self._known
+
+    @property
+    def token(self) -> int | None:
+        """Fencing token of this VM, None while another one holds the duty."""
+        return self._version if self._holder_boot == self._boot else None
+
+    def refresh(self) -> bool:
+        """Reads the row; returns whether the store answered."""
+        found = self._tables.read(TABLE, KEY)
+        self._count("read", found)
+        if isinstance(found, Failure):
+            logger().warning("duty-read-failed", reason=found.failure().detail)
+            return False
+        row = found.unwrap()
+        self._known = True
+        self._version = row.version if row else 0
+        self._holder = str(row.value.get("holder", "")) if row else ""
+        self._holder_boot = str(row.value.get("boot", "")) if row else ""
+        return True
+
+    def take(self, reason: str) -> bool:
+        """Takes the duty under a new token, if nobody took it since the row was read."""
+        if not self._known and not self.refresh():
+            return False
+        value = {"holder": self._vm, "boot": self._boot}
+        committed = self._tables.commit(
+            [Condition(TABLE, KEY, self._version)], [Write(TABLE, KEY, value)]
+        )
+        self._count("commit", committed)
+        if isinstance(committed, Failure):
+            return self._not_taken(committed.failure().kind, reason)
+        self._version = committed.unwrap()
+        self._holder, self._holder_boot = self._vm, self._boot
+        logger().info("duty-taken", fencing_token=self._version, reason=reason)
+        return True
+
+    def _not_taken(self, kind: PlatformFailure, reason: str) -> bool:
+        """Reads who holds the duty after a failed or unanswered attempt."""
+        before = self._version
+        refreshed = self.refresh()
+        taken = refreshed and self.token is not None and self._version != before
+        logger().info(
+            "duty-not-taken" if not taken else "duty-taken",
+            failure=kind.value,
+            holder=self._holder,
+            fencing_token=self._version,
+            reason=reason,
+        )
+        return taken
+
+    @staticmethod
+    def _count(call: str, answer: object) -> None:
+        outcome = "failed" if isinstance(answer, Failure) else "done"
+        metrics.STORE_CALLS.labels(f"duty-{call}", outcome).inc()
--- /dev/null
+++ b/siskindale/proxy/failover.py
@@ -0,0 +1,286 @@
+"""Watching of primaries and ordering of promotions."""
+
+import gevent
+
+from siskindale.membership.rendezvous import score
+from siskindale.models.gossip import PromotionNotice
+from siskindale.models.group import LogPosition
+from siskindale.models.vm import ProxySettings
+from siskindale.platform import wire
+from siskindale.platform.promotion import Promotion, PromotionClient
+from siskindale.proxy import metrics
+from siskindale.proxy.connection import ReplyTimeoutError
+from siskindale.proxy.decisions import failover, leadership
+from siskindale.proxy.decisions.failover import Reason, Reports
+from siskindale.proxy.duty import FailoverDuty
+from siskindale.proxy.peers import Peers
+from siskindale.proxy.pool import ConnectionPool
+from siskindale.proxy.state import ProxyState
+from siskindale.proxy.tables import Group, Target
+from siskindale.runtime.logs import logger
+
+TICK_S = 0.05
+MAINTENANCE_S = 0.25
+PROBE_INTERVAL_S = 0.25
+PROBE_TIMEOUT_S = 0.35
+# While no primary is known, each target is asked this often.
+SEARCH_INTERVAL_S = 0.06
+STATUS_TIMEOUT_S = 0.3
+# A promotion takes about a second; after this time another target is tried.
+PROMOTION_LIMIT_S = 2.2
+RETRY_S = 0.1
+# A tick that is this late shows that this VM stood still, and its evidence is void.
+STALL_S = 0.5
+DUTY_CHECK_S = 1.0
+ORPHANED_DUTY_S = 4.0
+
+
+class GroupWatch:
+    """State of the watch of one group."""
+
+    def __init__(self, group: Group) -> None:
+        self.group = group
+        self.searched_at = 0.0
+        self.probed_at = 0.0
+        self.maintained_at = 0.0
+        self.absent_since: float | None = None
+        self.reason_since: float | None = None
+        self.probing: set[str] = set()
+        self.replacing = False
+
+
+class Failover:
+    """Probes primaries, shares what it sees with peers, and replaces primaries as the holder."""
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        state: ProxyState,
+        pool: ConnectionPool,
+        peers: Peers,
+        duty: FailoverDuty,
+    ) -> None:
+        self._settings = settings
+        self._state = state
+        self._pool = pool
+        self._peers = peers
+        self._duty = duty
+        self._promotions = PromotionClient(settings.promotions, settings.vm)
+        self._watches: dict[str, GroupWatch] = {}
+        self._orphaned_since: float | None = None
+
+    def run(self) -> None:
+        """Watches all groups until it is killed."""
+        last = self._pool.now()
+        while True:
+            gevent.sleep(TICK_S)
+            now = self._pool.now()
+            if now - last > STALL_S:
+                self._reset_after_stall(now - last)
+            last = now
+            for group in list(self._state.groups.values()):
+                watch = self._watches.setdefault(group.name, GroupWatch(group))
+                self._tick(watch, now)
+
+    def keep_duty(self) -> None:
+        """Takes the duty while nobody holds it, so that a token exists before it is needed."""
+        while True:
+            gevent.sleep(DUTY_CHECK_S * (1 + self._rank("failover") * 0.3))
+            if self._state.ready:
+                self._check_duty()
+
+    def _check_duty(self) -> None:
+        if not self._duty.known and not self._duty.refresh():
+            return
+        if self._duty.token is not None:
+            return
+        own_earlier_start = self._duty.holder == self._settings.vm
+        if not self._duty.holder or own_earlier_start:
+            self._duty.take("vacant")
+            return
+        now = self._pool.now()
+        live = {peer.vm for peer in self._peers.live() if not peer.draining}
+        if self._duty.holder in live:
+            self._orphaned_since = None
+            return
+        self._orphaned_since = self._orphaned_since or now
+        if now - self._orphaned_since >= ORPHANED_DUTY_S and self._rank("failover") == 0:
+            self._orphaned_since = None
+            self._duty.take("holder is gone")
+
+    def _rank(self, group: str) -> int:
+        own = score(group, self._settings.vm)
+        return sum(score(group, peer.vm) > own for peer in self._peers.live() if not peer.draining)
+
+    def _reset_after_stall(self, stalled_s: float) -> None:
+        logger().warning("process-stalled", stalled_ms=round(stalled_s * 1000))
+        for watch in self._watches.values():
+            watch.group.leadership.lost_since = None
+            watch.absent_since = watch.reason_since = None
+
+    def _tick(self, watch: GroupWatch, now: float) -> None:
+        group = watch.group
+        if now - watch.maintained_at >= MAINTENANCE_S:
+            watch.maintained_at = now
+            if leadership.adopt_registration(group):
+                self._pool.dispatch(group)
+            self._pool.maintain(group)
+        primary = group.primary
+        self._note_absence(watch, primary, now)
+        if primary is None or group.leadership.lost_since is not None or group.leadership.ordered:
+            self._search(watch, now)
+        elif now - max(group.leadership.proven_at, watch.probed_at) >= PROBE_INTERVAL_S:
+            watch.probed_at = now
+            self._probe(watch, primary)
+        self._consider(watch, now)
+
+    def _note_absence(self, watch: GroupWatch, primary: Target | None, now: float) -> None:
+        if primary is not None or not watch.group.targets:
+            watch.absent_since = None
+        elif watch.absent_since is None:
+            watch.absent_since = now
+
+    def _search(self, watch: GroupWatch, now: float) -> None:
+        if now - watch.searched_at < SEARCH_INTERVAL_S:
+            return
+        watch.searched_at = now
+        for target in leadership.probe_targets(watch.group):
+            self._probe(watch, target)
+
+    def _probe(self, watch: GroupWatch, target: Target) -> None:
+        if target.id not in watch.probing:
+            watch.probing.add(target.id)
+            gevent.spawn(self._run_probe, watch, target)
+
+    def _run_probe(self, watch: GroupWatch, target: Target) -> None:
+        try:
+            if not target.idle and target.open_count == 0:
+                self._pool.reopen(watch.group, target)
+            self._pool.prove(watch.group, target, PROBE_TIMEOUT_S)
+        finally:
+            watch.probing.discard(target.id)
+
+    def _consider(self, watch: GroupWatch, now: float) -> None:
+        group = watch.group
+        reason = failover.reason_to_replace(group, self._reports(group), watch.absent_since, now)
+        if reason is None:
+            watch.reason_since = None
+            return
+        watch.reason_since = watch.reason_since or now
+        if watch.replacing or group.leadership.ordered:
+            return
+        waited = now - watch.reason_since
+        if self._duty.token is None and waited < failover.takeover_delay(self._rank(group.name)):
+            return
+        watch.replacing = True
+        gevent.spawn(self._replace, watch, reason)
+
+    def _reports(self, group: Group) -> Reports:
+        known = group.leadership
+        peers = self._peers.lost_by(group.name, known.target)
+        own = known.lost_since is not None
+        refused = sum(
+            any(loss.refused for loss in peer.losses if loss.group == group.name) for peer in peers
+        )
+        return Reports(
+            vms=1 + len(self._peers.live()),
+            lost=len(peers) + own,
+            refused=refused + (own and known.refused),
+        )
+
+    def _replace(self, watch: GroupWatch, reason: Reason) -> None:
+        try:
+            self._promote(watch.group, reason)
+        finally:
+            watch.replacing = False
+
+    def _promote(self, group: Group, reason: Reason) -> None:
+        started = self._pool.now()
+        if self._duty.token is None and not self._duty.take(f"{group.name}: {reason.value}"):
+            gevent.sleep(RETRY_S)
+            return
+        received = self._received_positions(group)
+        successor = failover.choose_successor(group, received, ())
+        logger().info(
+            "promotion-decided",
+            group=group.name,
+            reason=reason.value,
+            old=group.leadership.target,
+            successor=successor.id if successor else "",
+            positions={name: str(position) for name, position in received.items()},
+            fencing_token=self._duty.token,
+        )
+        if successor is None:
+            gevent.sleep(RETRY_S)
+            return
+        if self._order(group, successor):
+            self._await_leadership(group, successor, started)
+
+    def _received_positions(self, group: Group) -> dict[str, LogPosition]:
+        asked = [
+            (target.id, gevent.spawn(self._received_position, group, target))
+            for target in group.targets.values()
+            if not target.leaving and target.id != group.leadership.target
+        ]
+        gevent.joinall([greenlet for _, greenlet in asked], timeout=STATUS_TIMEOUT_S * 2)
+        return {name: g.value for name, g in asked if g.ready() and g.value is not None}
+
+    def _received_position(self, group: Group, target: Target) -> LogPosition | None:
+        connection = self._pool.take_idle(target)
+        if connection is None:
+            return None
+        try:
+            connection.send([wire.encode_status()])
+            reply = connection.receive(STATUS_TIMEOUT_S)
+        except (OSError, ReplyTimeoutError, wire.ProtocolError) as error:
+            logger().info("status-failed", target=target.id, reason=repr(error))
+            self._pool.break_off(group, connection)
+            return None
+        self._pool.release(group, connection)
+        if reply.rows:
+            return wire.decode_received(reply.rows[0])
+        # A target without a free slot still tells the end of its log with each reply.
+        return reply.position
+
+    def _order(self, group: Group, successor: Target) -> bool:
+        token = self._duty.token
+        if token is None:
+            return False
+        called = self._pool.now()
+        outcome = self._promotions.promote(group.name, successor.id, token)
+        metrics.PROMOTIONS.labels(outcome.value).inc()
+        logger().info(
+            "promotion-ordered",
+            group=group.name,
+            target=successor.id,
+            fencing_token=token,
+            outcome=outcome.value,
+            took_ms=round((self._pool.now() - called) * 1000, 1),
+        )
+        if outcome is Promotion.ACCEPTED:
+            group.leadership.ordered = successor.id
+            self._peers.notify_promotion(PromotionNotice(group.name, successor.id, token))
+            return True
+        if outcome is Promotion.UNKNOWN:
+            # The call may be carried out later; under a newer token it is refused then.
+            self._duty.take("promotion without an answer")
+        elif outcome is Promotion.REJECTED:
+            self._duty.refresh()
+            successor.avoid_until = self._pool.now() + RETRY_S
+        gevent.sleep(RETRY_S)
+        return False
+
+    def _await_leadership(self, group: Group, successor: Target, started: float) -> None:
+        give_up = self._pool.now() + PROMOTION_LIMIT_S
+        while self._pool.now() < give_up:
+            if group.leadership.target == successor.id and not group.leadership.ordered:
+                logger().info(
+                    "promotion-completed",
+                    group=group.name,
+                    target=successor.id,
+                    took_ms=round((self._pool.now() - started) * 1000),
+                )
+                return
+            gevent.sleep(SEARCH_INTERVAL_S)
+        logger().warning("promotion-not-seen", group=group.name, target=successor.id)
+        group.leadership.ordered = ""
--- /dev/null
+++ b/siskindale/proxy/followers.py
@@ -0,0 +1,121 @@
+"""Following of the store's tables: the catalog and the registrations of targets."""
+
+from collections.abc import Callable
+
+import gevent
+from returns.result import Failure, Result, Success
+
+from siskindale.platform.entries import CATALOG_KEY, CATALOG_TABLE, TARGETS_TABLE
+from siskindale.proxy import metrics
+from siskindale.proxy.state import ProxyState
+from siskindale.runtime.logs import logger
+from siskindale.store.interface import Changes, PlatformError, PlatformFailure, WatchedTables
+
+# A watch that the network has cut silently is noticed after this time.
+CATALOG_WAIT_S = 2.5
+# Registrations change several times a second, and each call has a price.
+TARGETS_INTERVAL_S = 1.5
+RETRY_S = 0.5
+# Targets that live register again within about two seconds of the store's return.
+MISSING_S = 3.0
+
+
+class TableFollower:
+    """Keeps up with one table: a snapshot first, then changes."""
+
+    def __init__(self, tables: WatchedTables, table: str, wait_s: float) -> None:
+        self._tables = tables
+        self._table = table
+        self._wait_s = wait_s
+        self._version = 0
+        self._available: bool | None = None
+
+    @property
+    def available(self) -> bool:
+        """Whether the last call succeeded."""
+        return bool(self._available)
+
+    def next_changes(self) -> Result[tuple[Changes, bool], PlatformError]:
+        """Returns changes, and whether they are a snapshot of the whole table."""
+        snapshot = self._version == 0
+        answer = (
+            self._tables.snapshot(self._table)
+            if snapshot
+            else self._tables.watch(self._table, self._version, self._wait_s)
+        )
+        self._note(answer)
+        if isinstance(answer, Failure):
+            if answer.failure().kind is PlatformFailure.HISTORY_LOST:
+                self._version = 0
+            return answer
+        changes = answer.unwrap()
+        self._version = changes.version
+        return Success((changes, snapshot))
+
+    def _note(self, answer: Result[Changes, PlatformError]) -> None:
+        succeeded = isinstance(answer, Success)
+        outcome = "done" if succeeded else answer.failure().kind.value
+        metrics.STORE_CALLS.labels(self._table, outcome).inc()
+        if succeeded != self._available:
+            self._available = succeeded
+            reason = "" if succeeded else answer.failure().detail
+            event = "store-available" if succeeded else "store-unavailable"
+            logger().info(event, table=self._table, reason=reason)
+
+
+class CatalogFollower:
+    """Takes each new catalog into use as soon as the store has it."""
+
+    def __init__(self, tables: WatchedTables, state: ProxyState) -> None:
+        self._follower = TableFollower(tables, CATALOG_TABLE, CATALOG_WAIT_S)
+        self._state = state
+
+    def run(self) -> None:
+        """Follows until it is killed."""
+        while True:
+            if not self._step():
+                gevent.sleep(RETRY_S)
+
+    def _step(self) -> bool:
+        answer = self._follower.next_changes()
+        if isinstance(answer, Failure):
+            return answer.failure().kind is PlatformFailure.HISTORY_LOST
+        changes, _ = answer.unwrap()
+        for row in changes.rows:
+            if row.key == CATALOG_KEY and not row.deleted:
+                self._state.adopt_catalog(row.value, "store")
+        return True
+
+
+class TargetsFollower:
+    """Takes changes of registrations into use, and missing ones after a while."""
+
+    def __init__(self, tables: WatchedTables, state: ProxyState, ask_peers: Callable[[], None]):
+        self._follower = TableFollower(tables, TARGETS_TABLE, 0)
+        self._state = state
+        self._ask_peers = ask_peers
+
+    def run(self) -> None:
+        """Follows until it is killed."""
+        while True:
+            succeeded = self._step()
+            gevent.sleep(TARGETS_INTERVAL_S if succeeded else RETRY_S)
+
+    def _step(self) -> bool:
+        was_available = self._follower.available
+        answer = self._follower.next_changes()
+        if isinstance(answer, Failure):
+            self._ask_peers()
+            return False
+        changes, snapshot = answer.unwrap()
+        entries = {row.key: None if row.deleted else row.value for row in changes.rows}
+        if snapshot:
+            present = {key: value for key, value in entries.items() if value is not None}
+            self._state.replace_targets(present, changes.version, "store")
+        else:
+            self._state.adopt_targets(entries, changes.version, "store")
+        if was_available:
+            self._state.forget_missing(MISSING_S)
+        else:
+            self._state.keep_missing()
+        return True
--- /dev/null
+++ b/siskindale/proxy/peers.py
@@ -0,0 +1,172 @@
+"""Exchange of state with the other session proxies of the deployment."""
+
+import attrs
+import gevent
+
+from siskindale.context import Clock
+from siskindale.models.gossip import Gossip, Loss, PromotionNotice, StateAnswer, StateRequest
+from siskindale.models.vm import ProxySettings
+from siskindale.proxy.state import ProxyState
+from siskindale.runtime.logs import logger
+from siskindale.transport.mailbox import Delivery, Mailbox
+
+GOSSIP_INTERVAL_S = 1.0
+LOSS_INTERVAL_S = 0.2
+# Three missed messages, with room for a slow VM.
+SILENCE_S = 3.5
+FORGET_S = 30.0
+REQUEST_INTERVAL_S = 0.5
+
+
+@attrs.define
+class Peer:
+    """Another VM as it described itself last; `heard_at` is when."""
+
+    vm: str
+    url: str
+    boot: str
+    heard_at: float
+    losses: tuple[Loss, ...] = ()
+    draining: bool = False
+
+
+class Peers:
+    """The other VMs of the deployment, found through seeds and each other."""
+
+    def __init__(
+        self, settings: ProxySettings, clock: Clock, mailbox: Mailbox, state: ProxyState
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._mailbox = mailbox
+        self._state = state
+        self._peers: dict[str, Peer] = {}
+        self._seeds = {s.inbox_url for s in settings.seeds if s != settings.peers}
+        self._requested_at = 0.0
+        self.draining = False
+        mailbox.on(Gossip, self._on_gossip)
+        mailbox.on(StateRequest, self._on_request)
+        mailbox.on(StateAnswer, self._on_answer)
+        mailbox.on(PromotionNotice, self._on_promotion)
+
+    def live(self) -> list[Peer]:
+        """Returns the peers that were heard of lately."""
+        limit = self._clock.monotonic() - SILENCE_S
+        return [peer for peer in self._peers.values() if peer.heard_at >= limit]
+
+    def vm_count(self) -> int:
+        """Returns the number of VMs that share the connections, this one included."""
+        return 1 + sum(not peer.draining for peer in self.live())
+
+    def lost_by(self, group: str, target: str) -> list[Peer]:
+        """Returns the live peers that do not reach the primary of a group."""
+        return [
+            peer
+            for peer in self.live()
+            if any(loss.group == group and loss.target == target for loss in peer.losses)
+        ]
+
+    def run(self) -> None:
+        """Sends this VM's state regularly until it is killed."""
+        while True:
+            losses = self._losses()
+            self._announce(losses)
+            gevent.sleep(LOSS_INTERVAL_S if losses else GOSSIP_INTERVAL_S)
+
+    def announce(self) -> None:
+        """Sends this VM's state now."""
+        self._announce(self._losses())
+
+    def notify_promotion(self, notice: PromotionNotice) -> None:
+        """Tells all peers that a promotion was ordered."""
+        for peer in self.live():
+            self._mailbox.send(peer.url, notice)
+
+    def request_state(self) -> None:
+        """Asks a peer for what the store holds, at a limited rate."""
+        now = self._clock.monotonic()
+        if now < self._requested_at + REQUEST_INTERVAL_S:
+            return
+        self._requested_at = now
+        known = [peer.url for peer in self.live()] or sorted(self._seeds)
+        for url in known[:3]:
+            self._mailbox.send(url, StateRequest())
+
+    def _losses(self) -> tuple[Loss, ...]:
+        return tuple(
+            Loss(group.name, group.leadership.target, group.leadership.refused)
+            for group in self._state.groups.values()
+            if group.leadership.target and group.leadership.lost_since is not None
+        )
+
+    def _announce(self, losses: tuple[Loss, ...]) -> None:
+        self._forget_silent()
+        urls = {peer.url for peer in self._peers.values()}
+        for url in urls | self._seeds:
+            self._mailbox.send(url, self._gossip(losses, wants_answer=url not in urls))
+
+    def _gossip(self, losses: tuple[Loss, ...], wants_answer: bool) -> Gossip:
+        return Gossip(
+            vm=self._settings.vm,
+            catalog_version=self._state.catalog_version,
+            targets_version=self._state.targets_version,
+            losses=losses,
+            draining=self.draining,
+            wants_answer=wants_answer,
+            known=tuple(peer.url for peer in self.live()),
+        )
+
+    def _forget_silent(self) -> None:
+        limit = self._clock.monotonic() - FORGET_S
+        for vm in [peer.vm for peer in self._peers.values() if peer.heard_at < limit]:
+            logger().info("peer-forgotten", peer=vm)
+            self._mailbox.discard(self._peers.pop(vm).url)
+
+    def _on_gossip(self, delivery: Delivery) -> None:
+        gossip: Gossip = delivery.body
+        if gossip.vm == self._settings.vm:
+            return
+        url, boot = delivery.envelope.reply_to, delivery.envelope.sender_boot
+        known = self._peers.get(gossip.vm)
+        if known is None or known.boot != boot:
+            logger().info("peer-found", peer=gossip.vm, url=url)
+        self._peers[gossip.vm] = Peer(
+            gossip.vm, url, boot, self._clock.monotonic(), gossip.losses, gossip.draining
+        )
+        if gossip.wants_answer:
+            self._mailbox.send(url, self._gossip(self._losses(), wants_answer=False))
+        self._greet(gossip.known)
+        if gossip.catalog_version > self._state.catalog_version or not self._state.ready:
+            self.request_state()
+
+    def _greet(self, urls: tuple[str, ...]) -> None:
+        known = {peer.url for peer in self._peers.values()} | {self._mailbox.url}
+        for url in set(urls) - known - self._seeds:
+            self._mailbox.send(url, self._gossip((), wants_answer=True))
+
+    def _on_request(self, delivery: Delivery) -> None:
+        state = self._state
+        catalog = dict(state.raw_catalog) if state.raw_catalog is not None else None
+        targets = {name: dict(raw) for name, raw in state.raw_targets.items()}
+        answer = StateAnswer(catalog, targets, state.targets_version)
+        self._mailbox.send(delivery.envelope.reply_to, answer)
+
+    def _on_answer(self, delivery: Delivery) -> None:
+        answer: StateAnswer = delivery.body
+        if answer.catalog is not None:
+            self._state.adopt_catalog(answer.catalog, "peer")
+        if answer.targets_version > self._state.targets_version:
+            self._state.replace_targets(answer.targets, answer.targets_version, "peer")
+
+    def _on_promotion(self, delivery: Delivery) -> None:
+        notice: PromotionNotice = delivery.body
+        group = self._state.groups.get(notice.group)
+        if group is not None:
+            group.leadership.ordered = notice.target
+            logger().info(
+                "promotion-announced",
+                group=notice.group,
+                target=notice.target,
+                fencing_token=notice.fencing_token,
+                holder=delivery.envelope.sender,
+            )
--- /dev/null
+++ b/siskindale/proxy/pool.py
@@ -0,0 +1,283 @@
+"""Shared connections to targets: handing out, opening and closing."""
+
+from collections.abc import Callable, Iterable
+
+import gevent
+from gevent.event import AsyncResult
+
+from siskindale.context import Clock
+from siskindale.models.group import LogPosition
+from siskindale.models.statements import ErrorCode, SessionState
+from siskindale.models.vm import ProxySettings
+from siskindale.platform import wire
+from siskindale.proxy import metrics
+from siskindale.proxy.connection import (
+    ConnectRefusedError,
+    ReplyTimeoutError,
+    StartRefusedError,
+    TargetConnection,
+    probe,
+)
+from siskindale.proxy.decisions import connections, leadership, placement, waiting
+from siskindale.proxy.tables import Group, Need, Target, Waiter
+from siskindale.runtime.logs import logger
+
+OPEN_TIMEOUT_S = 0.6
+ROLLBACK_TIMEOUT_S = 1.0
+# A target without a free connection is asked again after this time.
+FULL_RETRY_S = 0.1
+UNREACHABLE_RETRY_S = 0.25
+AVOID_S = 0.5
+
+
+class ConnectionPool:
+    """Connections of this VM to all targets of all groups."""
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        clock: Clock,
+        groups: dict[str, Group],
+        vms: Callable[[], int],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._groups = groups
+        self._vms = vms
+
+    def now(self) -> float:
+        """Seconds of the suspend-aware clock."""
+        return self._clock.monotonic()
+
+    def acquire(
+        self, group: Group, need: Need, excluded: Iterable[str] = ()
+    ) -> TargetConnection | None:
+        """Returns an idle connection that fits, None if there is none until the deadline."""
+        waiter = Waiter(need, set(excluded), self.now(), AsyncResult())
+        if not self._ahead(group, waiter):
+            connection = self._take(group, waiter)
+            if connection is not None:
+                return connection
+        group.waiters.append(waiter)
+        try:
+            self._open_for(group, waiter)
+            return waiter.result.get(timeout=max(0.0, need.deadline - self.now()))
+        except gevent.Timeout:
+            return waiter.result.value
+        except BaseException:
+            if waiter.result.ready():
+                self.release(group, waiter.result.value)
+            raise
+        finally:
+            if waiter in group.waiters:
+                group.waiters.remove(waiter)
+
+    def release(self, group: Group, connection: TargetConnection) -> None:
+        """Takes a connection back; one in an unclear state is closed."""
+        target = connection.target
+        target.in_flight -= 1
+        if target.closed or connection.state is not SessionState.IDLE or not connection.fresh:
+            self.discard(group, connection)
+            return
+        connection.used_at = self.now()
+        target.idle.append(connection)
+        self.dispatch(group)
+
+    def break_off(self, group: Group, connection: TargetConnection) -> None:
+        """Closes a connection that is in use."""
+        connection.target.in_flight -= 1
+        self.discard(group, connection)
+        self.dispatch(group)
+
+    def roll_back(self, group: Group, connection: TargetConnection) -> None:
+        """Ends the transaction on a connection in the background and takes the connection back."""
+        gevent.spawn(self._roll_back, group, connection)
+
+    def discard(self, group: Group, connection: TargetConnection) -> None:
+        """Closes a connection that is in no list."""
+        if not connection.closed:
+            connection.close()
+            connection.target.open_count -= 1
+
+    def dispatch(self, group: Group) -> None:
+        """Gives idle connections to waiting statements."""
+        for waiter in waiting.service_order(group.waiters):
+            connection = self._take(group, waiter)
+            if connection is None:
+                self._open_for(group, waiter)
+            else:
+                group.waiters.remove(waiter)
+                waiter.result.set(connection)
+
+    def close_target(self, group: Group, target: Target) -> None:
+        """Closes the connections of a target that has ended."""
+        target.closed = True
+        while target.idle:
+            self.discard(group, target.idle.pop())
+        self.dispatch(group)
+
+    def take_idle(self, target: Target) -> TargetConnection | None:
+        """Returns an idle connection to a target, None if there is none."""
+        while target.idle:
+            connection = target.idle.pop()
+            if connection.fresh:
+                target.in_flight += 1
+                return connection
+            self.discard(self._groups[target.entry.group], connection)
+        return None
+
+    def maintain(self, group: Group) -> None:
+        """Opens connections that should be kept warm and closes those that are not needed."""
+        now = self.now()
+        for target in list(group.targets.values()):
+            for connection in self._oldest(
+                target, connections.surplus(target, group, self._vms(), now)
+            ):
+                self.discard(group, connection)
+            warm = connections.warm_count(target, group, self._vms())
+            if target.open_count + target.opening < warm and not target.opening:
+                self._start_opening(group, target)
+        self.dispatch(group)
+
+    def _oldest(self, target: Target, count: int) -> list[TargetConnection]:
+        removed, target.idle[:] = target.idle[:count], target.idle[count:]
+        return removed
+
+    def _ahead(self, group: Group, waiter: Waiter) -> bool:
+        return any(w.need.priority <= waiter.need.priority for w in group.waiters)
+
+    def _take(self, group: Group, waiter: Waiter) -> TargetConnection | None:
+        found = placement.candidates(
+            group,
+            waiter.need,
+            waiter.excluded,
+            self._settings.failure_domain,
+            self.now(),
+            self._settings.drain_s,
+        )
+        return next(filter(None, map(self.take_idle, found)), None)
+
+    def _open_for(self, group: Group, waiter: Waiter) -> None:
+        now = self.now()
+        found = placement.candidates(
+            group,
+            waiter.need,
+            waiter.excluded,
+            self._settings.failure_domain,
+            now,
+            self._settings.drain_s,
+        )
+        openable = [t for t in found if connections.may_open(t, group, self._vms(), now)]
+        if openable and sum(t.opening for t in found) < len(group.waiters):
+            self._start_opening(group, openable[0])
+
+    def _start_opening(self, group: Group, target: Target) -> None:
+        if target.closed or self.now() < target.next_open_at:
+            return
+        target.opening += 1
+        gevent.spawn(self._open, group, target)
+
+    def _open(self, group: Group, target: Target) -> None:
+        started = self.now()
+        try:
+            connection = TargetConnection.open(target, OPEN_TIMEOUT_S)
+        except ConnectRefusedError:
+            self._note_unreachable(group, target, "connection refused", refused=True)
+        except StartRefusedError as error:
+            self._note_start_refused(group, target, error)
+        except (OSError, wire.ProtocolError) as error:
+            self._note_unreachable(group, target, str(error) or type(error).__name__, False)
+        else:
+            metrics.CONNECTIONS_OPENED.labels("opened").inc()
+            target.refused = False
+            connection.used_at = self.now()
+            self._admit(group, connection, started)
+        finally:
+            target.opening -= 1
+        self.dispatch(group)
+
+    def _admit(self, group: Group, connection: TargetConnection, started: float) -> None:
+        target = connection.target
+        if target.closed:
+            connection.close()
+            return
+        target.open_count += 1
+        target.idle.append(connection)
+        leadership.note_reachable(group, target)
+
+    def _note_start_refused(self, group: Group, target: Target, error: StartRefusedError) -> None:
+        code = error.reply.error
+        metrics.CONNECTIONS_OPENED.labels(code.value if code else "unknown").inc()
+        if code is ErrorCode.WRONG_TARGET:
+            logger().warning("target-replaced", group=group.name, target=target.id)
+            leadership.note_unreachable(group, target, self.now(), refused=True)
+            target.refused = True
+            target.next_open_at = target.avoid_until = self.now() + UNREACHABLE_RETRY_S
+            return
+        target.next_open_at = self.now() + FULL_RETRY_S
+        logger().debug("connection-not-granted", target=target.id, reason=code)
+
+    def _note_unreachable(self, group: Group, target: Target, reason: str, refused: bool) -> None:
+        now = self.now()
+        metrics.CONNECTIONS_OPENED.labels("refused" if refused else "unreachable").inc()
+        if now >= target.avoid_until:
+            logger().warning(
+                "target-unreachable", group=group.name, target=target.id, reason=reason
+            )
+        target.refused = refused
+        target.next_open_at = now + UNREACHABLE_RETRY_S
+        target.avoid_until = now + AVOID_S
+        leadership.note_unreachable(group, target, now, refused)
+
+    def _roll_back(self, group: Group, connection: TargetConnection) -> None:
+        try:
+            connection.send([wire.encode_rollback()])
+            connection.receive(ROLLBACK_TIMEOUT_S)
+        except (OSError, ReplyTimeoutError, wire.ProtocolError) as error:
+            logger().info("rollback-failed", target=connection.target.id, reason=repr(error))
+            self.break_off(group, connection)
+            return
+        self.release(group, connection)
+
+    def reopen(self, group: Group, target: Target) -> None:
+        """Opens a connection in the background, if none is being opened."""
+        if not target.opening:
+            self._start_opening(group, target)
+
+    def prove(self, group: Group, target: Target, timeout_s: float) -> bool:
+        """Asks a target over an idle connection whether it is the primary."""
+        connection = self.take_idle(target)
+        if connection is None:
+            return False
+        asked = self.now()
+        try:
+            position = probe(connection, timeout_s)
+        except (OSError, ReplyTimeoutError, wire.ProtocolError) as error:
+            logger().info("probe-failed", target=target.id, reason=repr(error))
+            self.break_off(group, connection)
+            self._note_silent(group, target, asked)
+            return False
+        if position is None:
+            leadership.note_not_primary(group, target, self.now())
+        else:
+            self.note_primary(group, target, position, asked)
+        self.release(group, connection)
+        return position is not None
+
+    def _note_silent(self, group: Group, target: Target, asked: float) -> None:
+        """Checks by a new connection whether only the old one was cut."""
+        target.next_open_at = 0.0
+        self._start_opening(group, target)
+
+    def note_primary(
+        self, group: Group, target: Target, position: LogPosition | None, asked: float
+    ) -> None:
+        """Records the proof that a target was the primary when it replied."""
+        changed = leadership.note_primary(group, target, self.now())
+        if position is not None:
+            group.freshness.note(position, asked)
+        if changed:
+            logger().info(
+                "primary-found", group=group.name, target=target.id, position=str(position)
+            )
+            self.dispatch(group)
--- /dev/null
+++ b/siskindale/proxy/program.py
@@ -0,0 +1,93 @@
+"""The running session proxy: its parts, start and stop."""
+
+import os
+import signal
+
+import gevent
+from gevent.event import Event
+
+from siskindale.context import Environment, SuspendAwareClock
+from siskindale.exits import ExitStatus
+from siskindale.models.settings import Address
+from siskindale.models.vm import ProxySettings
+from siskindale.platform.store import PlatformStore
+from siskindale.proxy.duty import FailoverDuty
+from siskindale.proxy.executor import Executor
+from siskindale.proxy.failover import Failover
+from siskindale.proxy.followers import CatalogFollower, TargetsFollower
+from siskindale.proxy.peers import Peers
+from siskindale.proxy.pool import ConnectionPool
+from siskindale.proxy.server import SessionServer, metrics_server, readiness_server
+from siskindale.proxy.shutdown import drain
+from siskindale.proxy.state import ProxyState
+from siskindale.proxy.tables import Group
+from siskindale.runtime import logs
+from siskindale.runtime.logs import logger
+from siskindale.transport.mailbox import Mailbox
+
+
+class ProxyProgram:
+    """All parts of the session proxy of one VM."""
+
+    def __init__(self, settings: ProxySettings) -> None:
+        clock = SuspendAwareClock()
+        groups: dict[str, Group] = {}
+        self._settings = settings
+        self._clock = clock
+        self._stopping = Event()
+        self._pool = ConnectionPool(settings, clock, groups, self._vm_count)
+        self._state = ProxyState(settings, clock, groups, self._pool)
+        self._mailbox = Mailbox(settings.vm, settings.peers, clock)
+        self._peers = Peers(settings, clock, self._mailbox, self._state)
+        store = PlatformStore(settings.store)
+        self._failover = Failover(
+            settings, self._state, self._pool, self._peers, FailoverDuty(settings, store)
+        )
+        self._catalog = CatalogFollower(store, self._state)
+        self._targets = TargetsFollower(store, self._state, self._peers.request_state)
+        self._server = SessionServer(settings.clients, self._state, Executor(self._pool))
+
+    def run(self) -> ExitStatus:
+        """Serves until SIGTERM, then drains."""
+        gevent.signal_handler(signal.SIGTERM, self._stopping.set)
+        gevent.signal_handler(signal.SIGINT, self._stopping.set)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        address = self._settings.readiness
+        readiness_server(address, self._is_ready).start()
+        metrics_server(Address(address.host, self._settings.metrics_port)).start()
+        self._mailbox.start()
+        for run in (
+            self._catalog.run,
+            self._targets.run,
+            self._peers.run,
+            self._failover.run,
+            self._failover.keep_duty,
+        ):
+            gevent.spawn(run)
+        self._server.start()
+        logger().info("started", vm=self._settings.vm, pid=os.getpid())
+        self._stopping.wait()
+        self._stop()
+        return ExitStatus.SUCCESS
+
+    def _stop(self) -> None:
+        logger().info("stopping", sessions=len(self._server.sessions))
+        self._peers.draining = True
+        self._peers.announce()
+        drain(self._settings, self._server, self._clock.monotonic())
+        logger().info("stopped")
+
+    def _is_ready(self) -> bool:
+        return self._state.ready and not self._stopping.is_set()
+
+    def _vm_count(self) -> int:
+        return self._peers.vm_count()
+
+    def _reload(self) -> None:
+        logger().info("settings-reload", note="addresses are read at start only")
+
+
+def run(settings: ProxySettings, env: Environment) -> ExitStatus:
+    """Runs the session proxy until it is stopped."""
+    logs.configure(settings.log_level, env.stdout, vm=settings.vm)
+    return ProxyProgram(settings).run()
--- /dev/null
+++ b/siskindale/proxy/session.py
@@ -0,0 +1,316 @@
+"""A client's session: statements in, replies out, one at a time."""
+
+import enum
+import socket as system_socket
+
+import gevent
+from gevent import socket
+
+from siskindale.models.catalog import Route
+from siskindale.models.group import LogPosition
+from siskindale.models.statements import (
+    Access,
+    ErrorCode,
+    Prepared,
+    Reply,
+    SessionState,
+    Statement,
+    Verb,
+)
+from siskindale.platform import wire
+from siskindale.proxy.decisions.outcomes import Work
+from siskindale.proxy.decisions.session_state import SessionValues
+from siskindale.proxy.executor import Executor, Operation, Transaction
+from siskindale.proxy.state import ProxyState
+from siskindale.runtime.logs import logger
+
+START_TIMEOUT_S = 5.0
+# A client gives up if the reply to its start takes 2 s.
+CATALOG_WAIT_S = 1.5
+SEND_TIMEOUT_S = 5.0
+MAX_VALUES = 1000
+
+_DONE = b"-"
+
+
+class Phase(enum.Enum):
+    """What a session is doing, for shutdown."""
+
+    STARTING = "starting"
+    WAITING = "waiting"
+    RUNNING = "running"
+
+
+class ClientSession:
+    """One connection of a client."""
+
+    def __init__(self, sock: socket.socket, state: ProxyState, executor: Executor) -> None:
+        self._socket = sock
+        self._reader = wire.LineReader(sock)
+        self._state = state
+        self._executor = executor
+        self._database = ""
+        self._values = SessionValues()
+        self._position: LogPosition | None = None
+        self._transaction: Transaction | None = None
+        self._phase = Phase.STARTING
+        self._last_reply_at = 0.0
+        self._stopping = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no statement runs, no transaction is open and no request has arrived."""
+        return (
+            self._phase is Phase.WAITING
+            and self._transaction is None
+            and not self._reader.buffered
+            and not self._has_input()
+        )
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._transaction is not None
+
+    def run(self) -> None:
+        """Serves the client until it leaves or is closed."""
+        self._socket.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
+        try:
+            if self._start():
+                self._serve()
+        except wire.ProtocolError as error:
+            logger().info("session-protocol-error", database=self._database, reason=str(error))
+            self._send_quietly(wire.encode_error(ErrorCode.MALFORMED, b"protocol error"))
+        except OSError as error:
+            logger().debug("session-lost", database=self._database, reason=repr(error))
+        finally:
+            self._abandon_transaction()
+            self._socket.close()
+
+    def close_if_idle(self) -> bool:
+        """Closes the session if nothing is outstanding; returns whether it did."""
+        if not self.idle:
+            return False
+        self._stopping = True
+        self._socket.shutdown(system_socket.SHUT_RDWR)
+        return True
+
+    def abort_transaction(self, reason: str) -> None:
+        """Rolls an open transaction back between two statements."""
+        transaction = self._transaction
+        if transaction is None or transaction.failed or self._phase is not Phase.WAITING:
+            return
+        logger().info("transaction-aborted", database=self._database, reason=reason)
+        transaction.failed = True
+        self._executor.end(transaction)
+
+    def _has_input(self) -> bool:
+        try:
+            return bool(self._socket._sock.recv(1, system_socket.MSG_PEEK))
+        except BlockingIOError:
+            return False
+        except OSError:
+            return False
+
+    def _start(self) -> bool:
+        with gevent.Timeout(START_TIMEOUT_S, OSError("no start message")):
+            line = self._reader.line()
+        if line is None:
+            return False
+        self._database = wire.decode_start(line)
+        self._state.wait_for_catalog(CATALOG_WAIT_S)
+        if not self._state.has_catalog:
+            self._refuse_start(ErrorCode.OVERLOADED, b"no configuration yet")
+            return False
+        if self._state.route(self._database) is None:
+            self._refuse_start(ErrorCode.UNKNOWN_DATABASE, self._database.encode())
+            return False
+        self._send(wire.encode_ready(SessionState.IDLE))
+        return True
+
+    def _refuse_start(self, code: ErrorCode, detail: bytes) -> None:
+        logger().info(
+            "session-refused",
+            database=self._database,
+            reason=code.value,
+            catalog_version=self._state.catalog_version,
+        )
+        self._send(wire.encode_error(code, detail))
+
+    def _serve(self) -> None:
+        while True:
+            line = self._next_line()
+            if line is None:
+                return
+            statement = wire.decode_request(line)
+            if statement is None:
+                return
+            arrived = self._state.now()
+            reply = self._handle(statement, arrived)
+            self._send(wire.encode_reply(reply))
+            self._state.note_statement(statement, self._database, reply, arrived)
+            self._end_after_reply()
+
+    def _next_line(self) -> bytes | None:
+        self._phase = Phase.WAITING
+        self._last_reply_at = self._state.now()
+        try:
+            return self._read_line()
+        finally:
+            self._phase = Phase.RUNNING
+
+    def _read_line(self) -> bytes | None:
+        while True:
+            held = self._transaction is not None and self._transaction.connection is not None
+            limit = self._state.transaction_idle_s if held else None
+            timeout = gevent.Timeout(limit)
+            try:
+                with timeout:
+                    return self._reader.line()
+            except gevent.Timeout as expired:
+                if expired is not timeout:
+                    raise
+                self.abort_transaction("idle")
+
+    def _end_after_reply(self) -> None:
+        transaction = self._transaction
+        if transaction is not None and transaction.failed:
+            self._executor.end(transaction)
+
+    def _handle(self, statement: Statement, arrived: float) -> Reply:
+        if self._transaction is not None:
+            return self._in_transaction(statement)
+        return self._outside_transaction(statement, arrived)
+
+    def _outside_transaction(self, statement: Statement, arrived: float) -> Reply:
+        verb = statement.verb
+        if verb in (Verb.COMMIT, Verb.ROLLBACK, Verb.INVALID):
+            return Reply(error=ErrorCode.MALFORMED, detail=b"not allowed here")
+        if verb in _LOCAL:
+            return self._set(statement, SessionState.IDLE)
+        route = self._state.route(self._database)
+        if route is None:
+            return Reply(error=ErrorCode.UNKNOWN_DATABASE, detail=self._database.encode())
+        group = self._state.group(route)
+        if verb in (Verb.BEGIN, Verb.BEGIN_READ_ONLY):
+            read_only = verb is Verb.BEGIN_READ_ONLY
+            self._transaction = Transaction(read_only, route, group, arrived)
+            return Reply(receipt=_DONE, state=SessionState.OPEN)
+        return self._run_single(statement, route, arrived)
+
+    def _run_single(self, statement: Statement, route: Route, arrived: float) -> Reply:
+        access = self._values.access_of(statement)
+        if access is None:
+            return Reply(error=ErrorCode.UNKNOWN_PREPARED, detail=statement.name)
+        group = self._state.group(route)
+        operation = Operation(statement, route, group, arrived, access, self._position)
+        reply = self._executor.run_single(operation, self._values)
+        if reply.succeeded and access is Access.WRITE:
+            self._note_commit(reply)
+        return reply
+
+    def _note_commit(self, reply: Reply) -> None:
+        """Later reads of the session need the log position of its last commit."""
+        if reply.position is not None:
+            self._position = reply.position
+
+    def _in_transaction(self, statement: Statement) -> Reply:
+        transaction = self._transaction
+        assert transaction is not None
+        if statement.verb is Verb.ROLLBACK:
+            return self._rolled_back(transaction)
+        if statement.verb is Verb.COMMIT:
+            return self._commit(transaction, statement)
+        if transaction.failed:
+            return self._failed_transaction(transaction, statement)
+        if statement.verb in _LOCAL:
+            return self._set(statement, SessionState.OPEN)
+        access = self._values.access_of(statement)
+        if access is None or statement.verb in (Verb.BEGIN, Verb.BEGIN_READ_ONLY, Verb.INVALID):
+            transaction.failed = True
+            code = ErrorCode.MALFORMED if access is not None else ErrorCode.UNKNOWN_PREPARED
+            return Reply(error=code, detail=b"not allowed here", state=SessionState.FAILED)
+        work = Work.TRANSACTION_READ if access is Access.READ else Work.TRANSACTION_WRITE
+        return self._run_in_transaction(transaction, statement, work)
+
+    def _failed_transaction(self, transaction: Transaction, statement: Statement) -> Reply:
+        if not transaction.reported:
+            transaction.reported = True
+            return Reply(error=ErrorCode.ABORTED, detail=b"aborted", state=SessionState.FAILED)
+        return Reply(
+            error=ErrorCode.MALFORMED, detail=b"transaction failed", state=SessionState.FAILED
+        )
+
+    def _run_in_transaction(
+        self, transaction: Transaction, statement: Statement, work: Work
+    ) -> Reply:
+        if transaction.connection is None:
+            refused = self._executor.begin(transaction, self._values, self._position)
+            if refused is not None:
+                return self._fail(transaction, refused)
+        reply = self._executor.run_in_transaction(transaction, self._values, statement, work)
+        if work is Work.TRANSACTION_WRITE:
+            transaction.wrote = True
+        if reply.error is not None:
+            return self._fail(transaction, reply)
+        return reply
+
+    def _fail(self, transaction: Transaction, reply: Reply) -> Reply:
+        transaction.failed = True
+        transaction.reported = True
+        reply.state = SessionState.FAILED
+        return reply
+
+    def _rolled_back(self, transaction: Transaction) -> Reply:
+        self._transaction = None
+        self._executor.end(transaction)
+        return Reply(receipt=_DONE)
+
+    def _commit(self, transaction: Transaction, statement: Statement) -> Reply:
+        self._transaction = None
+        if transaction.failed:
+            self._executor.end(transaction)
+            return Reply(error=ErrorCode.ABORTED, detail=b"transaction failed")
+        if transaction.connection is None:
+            refused = self._executor.begin(transaction, self._values, self._position)
+            if refused is not None:
+                return refused
+        work = Work.COMMIT_OF_WRITES if transaction.wrote else Work.COMMIT_OF_READS
+        reply = self._executor.run_in_transaction(transaction, self._values, statement, work)
+        self._executor.end(transaction)
+        if reply.succeeded and transaction.wrote:
+            self._note_commit(reply)
+        reply.state = SessionState.IDLE
+        return reply
+
+    def _set(self, statement: Statement, state: SessionState) -> Reply:
+        """Records a value or a prepared statement; connections get it before the next statement."""
+        values = self._values
+        if len(values.values) + len(values.prepared) >= MAX_VALUES:
+            return Reply(error=ErrorCode.TOO_LARGE, detail=b"too many values", state=state)
+        if statement.verb is Verb.SET:
+            values.values[statement.name] = statement.argument
+        elif statement.verb is Verb.PREPARE:
+            assert statement.access is not None
+            values.prepared[statement.name] = Prepared(statement.access, statement.argument)
+        elif values.prepared.pop(statement.name, None) is None:
+            return Reply(error=ErrorCode.UNKNOWN_PREPARED, detail=statement.name, state=state)
+        return Reply(receipt=_DONE, state=state)
+
+    def _abandon_transaction(self) -> None:
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            self._executor.end(transaction)
+
+    def _send(self, data: bytes) -> None:
+        with gevent.Timeout(SEND_TIMEOUT_S, OSError("client does not read")):
+            self._socket.sendall(data)
+
+    def _send_quietly(self, data: bytes) -> None:
+        try:
+            self._send(data)
+        except OSError as error:
+            logger().debug("session-lost", database=self._database, reason=repr(error))
+
+
+_LOCAL = frozenset({Verb.SET, Verb.PREPARE, Verb.DEALLOCATE})
--- /dev/null
+++ b/siskindale/proxy/state.py
@@ -0,0 +1,255 @@
+"""What a session proxy knows: the catalog, its groups and their targets."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from gevent.event import Event
+from returns.result import Failure
+
+from siskindale.context import Clock
+from siskindale.models.catalog import Catalog, Route, TargetEntry, TargetState
+from siskindale.models.statements import Reply, Statement
+from siskindale.models.vm import ProxySettings
+from siskindale.platform.entries import decode_catalog, decode_target
+from siskindale.proxy import metrics
+from siskindale.proxy.decisions import leadership
+from siskindale.proxy.decisions.registration import is_newer
+from siskindale.proxy.pool import ConnectionPool
+from siskindale.proxy.tables import Group, Target
+from siskindale.runtime.logs import logger
+
+DEFAULT_TRANSACTION_IDLE_S = 3.0
+
+
+class ProxyState:
+    """The catalog and the tables of groups and targets, changed by newer versions only."""
+
+    def __init__(
+        self, settings: ProxySettings, clock: Clock, groups: dict[str, Group], pool: ConnectionPool
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._groups = groups
+        self._pool = pool
+        self._catalog: Catalog | None = None
+        self._raw_catalog: Mapping[str, Any] | None = None
+        self._raw_targets: dict[str, Mapping[str, Any]] = {}
+        self._targets_version = 0
+        self._targets_known = False
+        self._loaded = Event()
+
+    @property
+    def has_catalog(self) -> bool:
+        """Whether any catalog is known."""
+        return self._catalog is not None
+
+    @property
+    def catalog_version(self) -> int:
+        """Version of the catalog in use, 0 for none."""
+        return self._catalog.version if self._catalog else 0
+
+    @property
+    def targets_version(self) -> int:
+        """Version of the store up to which registrations are known."""
+        return self._targets_version
+
+    @property
+    def raw_catalog(self) -> Mapping[str, Any] | None:
+        """The catalog as the store holds it, for peers."""
+        return self._raw_catalog
+
+    @property
+    def raw_targets(self) -> Mapping[str, Mapping[str, Any]]:
+        """Registrations as the store holds them, for peers."""
+        return self._raw_targets
+
+    @property
+    def transaction_idle_s(self) -> float:
+        """Time after which an idle transaction is rolled back."""
+        return self._catalog.transaction_idle_s if self._catalog else DEFAULT_TRANSACTION_IDLE_S
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients can be served: the catalog and the registrations are known."""
+        return self._catalog is not None and self._targets_known
+
+    @property
+    def groups(self) -> Mapping[str, Group]:
+        """Groups by name."""
+        return self._groups
+
+    def now(self) -> float:
+        """Seconds of the suspend-aware clock."""
+        return self._clock.monotonic()
+
+    def wait_for_catalog(self, timeout_s: float) -> None:
+        """Waits until a catalog is known, at most `timeout_s`."""
+        self._loaded.wait(timeout_s)
+
+    def route(self, database: str) -> Route | None:
+        """Returns how a database is served, None if it does not exist."""
+        return self._catalog.routes.get(database) if self._catalog else None
+
+    def group(self, route: Route) -> Group:
+        """Returns the group of a route."""
+        return self._groups[route.group]
+
+    def adopt_catalog(self, raw: Mapping[str, Any], source: str) -> bool:
+        """Takes a newer catalog into use; an older one is ignored."""
+        decoded = decode_catalog(raw)
+        if isinstance(decoded, Failure):
+            logger().error("catalog-malformed", source=source, reason=decoded.failure())
+            return False
+        catalog = decoded.unwrap()
+        if catalog.version <= self.catalog_version:
+            return False
+        self._catalog = catalog
+        self._raw_catalog = raw
+        self._update_groups(catalog)
+        self._loaded.set()
+        logger().info(
+            "catalog-adopted", version=catalog.version, source=source, routes=len(catalog.routes)
+        )
+        return True
+
+    def adopt_targets(
+        self, entries: Mapping[str, Mapping[str, Any] | None], version: int, source: str
+    ) -> None:
+        """Takes changed registrations into use; None means that a registration is gone."""
+        if version < self._targets_version:
+            return
+        self._targets_version = version
+        self._targets_known = True
+        for target_id, raw in entries.items():
+            if raw is None:
+                self._note_missing(target_id)
+            else:
+                self._adopt_target(target_id, raw, source)
+
+    def replace_targets(
+        self, entries: Mapping[str, Mapping[str, Any]], version: int, source: str
+    ) -> None:
+        """Takes a whole table of registrations into use."""
+        gone = {target_id: None for target_id in self._raw_targets if target_id not in entries}
+        self.adopt_targets({**entries, **gone}, version, source)
+
+    def forget_missing(self, after_s: float) -> None:
+        """Closes targets whose registrations have been gone for `after_s`."""
+        limit = self.now() - after_s
+        for group in self._groups.values():
+            for target in list(group.targets.values()):
+                if target.missing_since is not None and target.missing_since <= limit:
+                    self._remove(group, target, "registration is gone")
+
+    def keep_missing(self) -> None:
+        """Restarts the time after which missing targets count as gone: the store was away."""
+        for target in self._targets():
+            if target.missing_since is not None:
+                target.missing_since = self.now()
+
+    def note_statement(
+        self, statement: Statement, database: str, reply: Reply, arrived: float
+    ) -> None:
+        """Counts and logs a statement that was answered."""
+        route = self.route(database)
+        kind = route.consistency.value if route else "none"
+        outcome = reply.error.value if reply.error else "done"
+        duration = self.now() - arrived
+        metrics.STATEMENTS.labels(kind, outcome).inc()
+        metrics.STATEMENT_SECONDS.labels(kind).observe(duration)
+        if reply.error is not None:
+            logger().info(
+                "statement-failed",
+                request=statement.request_id.decode(errors="replace"),
+                route=route.name if route else "",
+                verb=statement.verb.value,
+                outcome=outcome,
+                detail=reply.detail.decode(errors="replace"),
+                took_ms=round(duration * 1000, 1),
+                catalog_version=self.catalog_version,
+            )
+
+    def _targets(self) -> list[Target]:
+        return [target for group in self._groups.values() for target in group.targets.values()]
+
+    def _update_groups(self, catalog: Catalog) -> None:
+        for name, limits in catalog.groups.items():
+            known = self._groups.get(name)
+            if known is None:
+                self._groups[name] = Group(name, limits)
+            else:
+                known.limits = limits
+        for target_id, raw in self._raw_targets.items():
+            self._adopt_target(target_id, raw, "catalog")
+
+    def _note_missing(self, target_id: str) -> None:
+        self._raw_targets.pop(target_id, None)
+        for target in self._targets():
+            if target.id == target_id and target.missing_since is None:
+                target.missing_since = self.now()
+                logger().info("registration-missing", target=target_id)
+
+    def _adopt_target(self, target_id: str, raw: Mapping[str, Any], source: str) -> None:
+        self._raw_targets[target_id] = raw
+        decoded = decode_target(target_id, raw)
+        if isinstance(decoded, Failure):
+            logger().warning("registration-ignored", target=target_id, reason=decoded.failure())
+            return
+        entry = decoded.unwrap()
+        group = self._groups.get(entry.group)
+        if group is None:
+            return
+        known = group.targets.get(target_id)
+        if known is None:
+            self._add(group, entry, source)
+        elif is_newer(known.entry, entry):
+            self._update(group, known, entry, source)
+        if leadership.adopt_registration(group):
+            logger().info("primary-registered", group=group.name, target=group.leadership.target)
+            self._pool.dispatch(group)
+
+    def _add(self, group: Group, entry: TargetEntry, source: str) -> None:
+        target = Target(entry)
+        group.targets[entry.id] = target
+        self._note_draining(target)
+        logger().info(
+            "target-added",
+            group=group.name,
+            target=entry.id,
+            state=entry.state.value,
+            role=entry.role.value,
+            source=source,
+        )
+        self._pool.maintain(group)
+
+    def _update(self, group: Group, target: Target, entry: TargetEntry, source: str) -> None:
+        if entry.started_ms != target.entry.started_ms or entry.address != target.entry.address:
+            self._remove(group, target, "restarted")
+            self._add(group, entry, source)
+            return
+        changed = (entry.state, entry.role) != (target.entry.state, target.entry.role)
+        target.entry = entry
+        target.missing_since = None
+        if changed:
+            self._note_draining(target)
+            logger().info(
+                "target-changed",
+                group=group.name,
+                target=entry.id,
+                state=entry.state.value,
+                role=entry.role.value,
+                source=source,
+            )
+            self._pool.maintain(group)
+
+    def _note_draining(self, target: Target) -> None:
+        if target.entry.state is TargetState.DRAINING:
+            if target.draining_since is None:
+                target.draining_since = self.now()
+        else:
+            target.draining_since = None
+
+    def _remove(self, group: Group, target: Target, reason: str) -> None:
+        logger().info("target-removed", group=group.name, target=target.id, reason=reason)
+        del group.targets[target.id]
+        self._pool.close_target(group, target)
--- a/siskindale/runtime/program.py
+++ b/siskindale/runtime/program.py
@@ -10,7 +10,7 @@
 import pynng
 from gevent.pywsgi import WSGIServer
 
-import siskindale.platform.http  # noqa: F401 - registers the driver
+import siskindale.store.http  # noqa: F401 - registers the driver
 from siskindale.context import Environment
 from siskindale.exits import ExitStatus
 from siskindale.membership.directory import Directory
@@ -23,11 +23,11 @@
     Settings,
 )
 from siskindale.models.wire import AliveReply, AliveRequest, DrainNotice
-from siskindale.platform.interface import PLATFORM_DRIVERS, Platform
 from siskindale.runtime import logs
 from siskindale.runtime.commands import print_errors
 from siskindale.runtime.health import Report, health_server
 from siskindale.runtime.shutdown import Shutdown
+from siskindale.store.interface import PLATFORM_DRIVERS, Platform
 from siskindale.targets.interface import TARGET_DRIVERS, TargetDriver
 from siskindale.transport.mailbox import Delivery, Mailbox
 
--- a/siskindale/platform/connecting.py
+++ b/siskindale/store/connecting.py
@@ -6,9 +6,9 @@
 from returns.result import Failure, Result, Success
 
 from siskindale.models.settings import PlatformSettings
-from siskindale.platform.interface import PLATFORM_DRIVERS, Platform
+from siskindale.store.interface import PLATFORM_DRIVERS, Platform
 
-PACKAGE = "siskindale.platform"
+PACKAGE = "siskindale.store"
 
 
 def connect(settings: PlatformSettings) -> Result[Platform, str]:
--- a/siskindale/platform/http.py
+++ b/siskindale/store/http.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from siskindale.models.settings import Address, PlatformSettings
-from siskindale.platform.interface import (
+from siskindale.store.interface import (
     PLATFORM_DRIVERS,
     Condition,
     LiveView,
--- a/siskindale/platform/interface.py
+++ b/siskindale/store/interface.py
@@ -1,7 +1,7 @@
 """What siskindale needs of the platform.
 
 Every call is bounded by the timeout of the platform settings. A failure says whether the request
-may have taken effect: only `UNKNOWN` may have.
+may have taken effect: only `UNKNOWN` may have. `HISTORY_LOST` concerns reading only.
 """
 
 import enum
@@ -21,6 +21,7 @@
     UNAVAILABLE = "unavailable"
     CONFLICT = "conflict"
     UNKNOWN = "unknown"
+    HISTORY_LOST = "history-lost"
 
 
 @attrs.frozen
@@ -60,6 +61,14 @@
     value: dict[str, Any] | None
 
 
+@attrs.frozen
+class Changes:
+    """Rows changed after a version, deleted ones included; `version` is where to continue."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
 @attrs.frozen
 class LiveView:
     """VMs that are live, and VMs and targets that are leaving; may lag and be wrong."""
@@ -86,6 +95,28 @@
         ...
 
 
+class WatchedTables(Protocol):
+    """Tables whose changes can be awaited."""
+
+    def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
+        """Returns the present row, None where it is absent."""
+        ...
+
+    def snapshot(self, table: str) -> Result[Changes, PlatformError]:
+        """Returns all rows of a table as of one version."""
+        ...
+
+    def watch(self, table: str, after: int, wait_s: float) -> Result[Changes, PlatformError]:
+        """Waits up to `wait_s` for changes; `HISTORY_LOST` calls for a new snapshot."""
+        ...
+
+    def commit(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> Result[int, PlatformError]:
+        """Applies all writes in one transaction if all conditions hold; returns the new version."""
+        ...
+
+
 class ObjectStore(Protocol):
     """Immutable objects under the SHA-256 of their content."""
 
--- a/siskindale/transport/codec.py
+++ b/siskindale/transport/codec.py
@@ -1,5 +1,7 @@
 """MessagePack encoding of messages by msgspec."""
 
+import functools
+
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -7,9 +9,12 @@
 
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPES = msgspec.msgpack.Decoder(Envelope)
-_BODIES: dict[str, msgspec.msgpack.Decoder[Body]] = {
-    kind: msgspec.msgpack.Decoder(cls) for kind, cls in MESSAGES.items()
-}
+
+
+@functools.cache
+def _body_decoder(kind: str) -> msgspec.msgpack.Decoder[Body] | None:
+    cls = MESSAGES.get(kind)
+    return None if cls is None else msgspec.msgpack.Decoder(cls)
 
 
 def pack(body: Body) -> msgspec.Raw:
@@ -26,7 +31,7 @@
     """Decodes a message; fails with a reason for unknown kinds and malformed data."""
     try:
         envelope = _ENVELOPES.decode(data)
-        decoder = _BODIES.get(envelope.kind)
+        decoder = _body_decoder(envelope.kind)
         if decoder is None:
             return Failure(f"unknown message kind {envelope.kind!r}")
         return Success((envelope, decoder.decode(envelope.body)))
--- a/standins/platform/api.py
+++ b/standins/platform/api.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from siskindale.models.settings import Address
-from siskindale.platform.interface import Condition, LiveView, Write
+from siskindale.store.interface import Condition, LiveView, Write
 from standins.platform.services import Services
 from standins.server import Faults, MalformedError, Reply, Request, Server
 
--- a/standins/platform/services.py
+++ b/standins/platform/services.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from siskindale.platform.interface import Condition, LiveView, Row, Write
+from siskindale.store.interface import Condition, LiveView, Row, Write
 
 
 class Tables:
--- a/tests/bundles/test_following.py
+++ b/tests/bundles/test_following.py
@@ -14,7 +14,7 @@
 from siskindale.models.bundle import Bundle, SignedBundle
 from siskindale.models.settings import Settings
 from siskindale.models.wire import HeadNotice
-from siskindale.platform.interface import LiveView, Write
+from siskindale.store.interface import LiveView, Write
 from tests.fakes.clock import FakeClock
 from tests.fakes.mailbox import FakeMailbox, FakeNetwork
 from tests.fakes.platform import FakePlatform
--- a/tests/bundles/test_rolling.py
+++ b/tests/bundles/test_rolling.py
@@ -9,7 +9,7 @@
 from siskindale.bundles import audit, delta, following, rolling
 from siskindale.bundles.rolling import Accepted, NotAccepted, Outcome, RollRequest, Unknown
 from siskindale.models.bundle import SignedBundle
-from siskindale.platform.interface import Write
+from siskindale.store.interface import Write
 from tests.fakes.clock import FakeClock
 from tests.fakes.platform import FakePlatform
 from tests.fakes.settings import bundle, signed
--- a/tests/cli/conftest.py
+++ b/tests/cli/conftest.py
@@ -13,7 +13,7 @@
 from siskindale.context import Environment
 from siskindale.models.bundle import Bundle
 from siskindale.models.settings import Signer, Trust
-from siskindale.platform.interface import PLATFORM_DRIVERS, Platform
+from siskindale.store.interface import PLATFORM_DRIVERS, Platform
 from tests.fakes.platform import FakePlatform
 from tests.fakes.settings import vm_settings
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -9,7 +9,7 @@
 from siskindale.bundles import audit
 from siskindale.cli import drafts
 from siskindale.models.settings import Address
-from siskindale.platform.interface import Write
+from siskindale.store.interface import Write
 from siskindale.runtime.health import health_server
 from tests.cli.conftest import Operator
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,12 +8,12 @@
 import pytest
 from hypothesis import settings
 
-import siskindale.platform.http
+import siskindale.store.http
 import siskindale.targets.http  # noqa: F401
 from bench.deployment import GroupStandin, PlatformStandin, start_group, start_platform
 from bench.processes import Processes
-from siskindale.platform.http import http_platform
-from siskindale.platform.interface import Platform
+from siskindale.store.http import http_platform
+from siskindale.store.interface import Platform
 from siskindale.targets.http import HttpTargets
 
 # The same examples on each run, so that CI gives the same verdict; `make fuzz` explores others.
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -30,7 +30,7 @@
     StatementResult,
     TransactionStatement,
 )
-from siskindale.platform.interface import LiveView, Write
+from siskindale.store.interface import LiveView, Write
 from siskindale.runtime.health import health_server
 from siskindale.runtime.program import Kind, Parts, answer_alive, readiness, reports
 from siskindale.runtime.shutdown import Shutdown
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -17,8 +17,8 @@
 from siskindale.context import Environment
 from siskindale.membership.directory import MEMBERS, member_of, to_row
 from siskindale.models.settings import Settings
-from siskindale.platform.http import http_platform
-from siskindale.platform.interface import Write
+from siskindale.store.http import http_platform
+from siskindale.store.interface import Write
 from tests.entry.harness import CLASSES, Client, FakePool, after, club, on_free_ports
 from tests.fakes.settings import bundle, signed, vm_settings
 
--- a/tests/fakes/controllers.py
+++ b/tests/fakes/controllers.py
@@ -21,7 +21,7 @@
 from siskindale.models.bundle import Group, Target
 from siskindale.models.group import TargetStatus
 from siskindale.models.wire import SightRequest
-from siskindale.platform.interface import PlatformError, PlatformFailure
+from siskindale.store.interface import PlatformError, PlatformFailure
 from siskindale.targets.interface import TargetError, TargetFailure
 from tests.fakes.group import FakeGroup, target
 from tests.fakes.platform import FakePlatform
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -12,7 +12,7 @@
 import gevent
 from returns.result import Failure, Result, Success
 
-from siskindale.platform.interface import (
+from siskindale.store.interface import (
     Condition,
     LiveView,
     Platform,
--- a/tests/pool/conftest.py
+++ b/tests/pool/conftest.py
@@ -17,8 +17,8 @@
 from siskindale.models.bundle import Bundle, Caller, Durations, Repeat, StatementClass
 from siskindale.models.settings import Settings
 from siskindale.models.wire import Answer, StatementRequest
-from siskindale.platform.http import http_platform
-from siskindale.platform.interface import Condition, Write
+from siskindale.store.http import http_platform
+from siskindale.store.interface import Condition, Write
 from siskindale.transport.http import HttpClient
 from siskindale.transport.mailbox import Delivery, Mailbox
 from siskindale.transport.metrics import Purpose
--- a/tests/test_directory_relay.py
+++ b/tests/test_directory_relay.py
@@ -4,7 +4,7 @@
 
 from siskindale.membership.directory import Directory, member_of, to_row
 from siskindale.membership.relay import SILENCE_LIMIT_S, DirectoryClient, DirectoryServer
-from siskindale.platform.interface import LiveView, Write
+from siskindale.store.interface import LiveView, Write
 from tests.fakes.clock import FakeClock
 from tests.fakes.mailbox import FakeMailbox, FakeNetwork
 from tests.fakes.platform import FakePlatform
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -13,8 +13,8 @@
 from siskindale.models.bundle import Target
 from siskindale.models.group import LogPosition, Role
 from siskindale.models.settings import Address
-from siskindale.platform.http import http_platform
-from siskindale.platform.interface import Platform, PlatformFailure, Write
+from siskindale.store.http import http_platform
+from siskindale.store.interface import Platform, PlatformFailure, Write
 from siskindale.targets.http import HttpTargets
 from siskindale.targets.interface import Begin, Commit, Statement, TargetFailure
 from siskindale.transport.http import HttpConnection, HttpFailure
--- a/tests/test_promotion_faults.py
+++ b/tests/test_promotion_faults.py
@@ -13,7 +13,7 @@
 from siskindale.controller.systems import promotion, terms
 from siskindale.controller.tables import GroupRow, PromotionRow, ReservationStage, Tables
 from siskindale.models.group import TargetStatus
-from siskindale.platform.interface import PlatformFailure
+from siskindale.store.interface import PlatformFailure
 from tests.fakes.controllers import NAME
 from tests.fakes.group import FakeGroup
 from tests.fakes.promotions import Scenario, Writer
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -8,7 +8,7 @@
 from bench.processes import Processes, free_ports, wait_until
 from siskindale.models.bundle import Target, TargetState
 from siskindale.models.group import LogPosition, Role
-from siskindale.platform.interface import Condition, Platform, PlatformFailure, Write
+from siskindale.store.interface import Condition, Platform, PlatformFailure, Write
 from siskindale.targets.http import HttpTargets
 from siskindale.targets.interface import Begin, Commit, Statement, TargetFailure
 
