Keep one idle connection a target and VM

Cause: after all VMs lost power, a target counts their 14 of 16 connections for another 3 s, and 621 attempts of the restarted VMs were refused. Change: one idle connection is kept, others are closed after 0.8 s.

--- a/siskindale/proxy/decisions/connections.py
+++ b/siskindale/proxy/decisions/connections.py
@@ -9,10 +9,11 @@
 # Left to VMs that start, and to connections of lost VMs that the target has not dropped yet.
 RESERVED_CONNECTIONS = 2
 # Opening takes a slot for several statements' time, so idle connections are kept for a while.
-SURPLUS_IDLE_S = 1.5
+SURPLUS_IDLE_S = 0.8
 MAX_SHARE_FACTOR = 3
-WARM_REPLICA = 1
-WARM_PRIMARY = 2
+# A target counts the connections of a lost VM for seconds. While each VM keeps a single idle one, a
+# restart of all VMs finds enough connections free.
+KEPT_IDLE = 1
 
 
 def even_share(max_connections: int, vms: int) -> int:
@@ -31,18 +32,16 @@
     return target.open_count + target.opening < limit
 
 
-def warm_count(target: Target, group: Group, vms: int) -> int:
+def warm_count(target: Target, group: Group) -> int:
     """Returns how many connections to keep open without any load."""
     if target.leaving and target.id != group.leadership.target:
         return 0
-    wanted = WARM_PRIMARY if target.id == group.leadership.target else WARM_REPLICA
-    return min(wanted, even_share(group.limits.max_connections, vms))
+    return KEPT_IDLE
 
 
-def surplus(target: Target, group: Group, vms: int, now: float) -> int:
+def surplus(target: Target, group: Group, now: float) -> int:
     """Returns how many idle connections to close."""
-    idle_long = sum(now - connection.used_at > SURPLUS_IDLE_S for connection in target.idle)
     if target.closed or (target.leaving and target.id != group.leadership.target):
         return len(target.idle)
-    share = even_share(group.limits.max_connections, vms)
-    return max(0, min(idle_long, target.open_count - share))
+    idle_long = sum(now - connection.used_at > SURPLUS_IDLE_S for connection in target.idle)
+    return max(0, min(idle_long, target.open_count - KEPT_IDLE))
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -130,11 +130,9 @@
         """Opens connections that should be kept warm and closes those that are not needed."""
         now = self.now()
         for target in list(group.targets.values()):
-            for connection in self._oldest(
-                target, connections.surplus(target, group, self._vms(), now)
-            ):
+            for connection in self._oldest(target, connections.surplus(target, group, now)):
                 self.discard(group, connection)
-            warm = connections.warm_count(target, group, self._vms())
+            warm = connections.warm_count(target, group)
             if target.open_count + target.opening < warm and not target.opening:
                 self._start_opening(group, target)
         self.dispatch(group)
--- /dev/null
+++ b/tests/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the session proxy."""
--- /dev/null
+++ b/tests/proxy/conftest.py
@@ -0,0 +1,69 @@
+"""Shared fixtures of the session proxy: a group of three targets, without connections."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import pytest
+
+from siskindale.models.catalog import (
+    Consistency,
+    GroupLimits,
+    Route,
+    TargetEntry,
+    TargetState,
+)
+from siskindale.models.group import Role
+from siskindale.models.settings import Address
+from siskindale.proxy.tables import Group, Target
+
+
+@pytest.fixture
+def entry() -> TargetEntry:
+    """Registration of a ready replica."""
+    return TargetEntry(
+        id="a",
+        group="g",
+        address=Address("127.0.0.1", 9),
+        failure_domain="east",
+        slots=2,
+        state=TargetState.READY,
+        role=Role.REPLICA,
+        started_ms=1,
+        sequence=1,
+    )
+
+
+@pytest.fixture
+def group(entry: TargetEntry) -> Group:
+    """Group of the ready targets a (primary), b and c in different failure domains."""
+    group = Group("g", GroupLimits(16))
+    for name, domain, role in (
+        ("a", "east", Role.PRIMARY),
+        ("b", "west", Role.REPLICA),
+        ("c", "north", Role.REPLICA),
+    ):
+        registered = attrs.evolve(entry, id=name, failure_domain=domain, role=role)
+        group.targets[name] = Target(registered)
+    group.leadership.target = "a"
+    return group
+
+
+@pytest.fixture
+def route() -> Callable[..., Route]:
+    """Function that returns a route; fields can be replaced."""
+
+    def build(**fields: Any) -> Route:
+        given = Route(
+            name="r",
+            database="d",
+            group="g",
+            consistency=Consistency.BOUNDED,
+            timeout_s=0.8,
+            objective_s=0.2,
+            priority=1,
+            max_staleness_s=1.5,
+        )
+        return attrs.evolve(given, **fields)
+
+    return build
--- /dev/null
+++ b/tests/proxy/test_connections.py
@@ -0,0 +1,70 @@
+"""Number of connections that a VM holds to a target."""
+
+import attrs
+
+from siskindale.models.catalog import TargetState
+from siskindale.proxy.decisions import connections
+from siskindale.proxy.tables import Group, Target
+
+VMS = 7
+
+
+@attrs.define
+class IdleConnection:
+    """An idle connection as far as the decisions see it."""
+
+    used_at: float
+
+
+def idle(target: Target, *used_at: float) -> None:
+    target.idle = [IdleConnection(at) for at in used_at]  # type: ignore[misc]
+    target.open_count = len(used_at)
+
+
+def test_a_restart_of_all_vms_finds_connections_free(group: Group) -> None:
+    """Guards against 3 s of refusals after all VMs lost power.
+
+    The target counts the lost connections for 3 s, so what idle VMs hold and what the restarted
+    ones open must fit together.
+    """
+    held = VMS * connections.warm_count(group.targets["a"], group)
+    assert held + VMS * connections.KEPT_IDLE <= group.limits.max_connections
+
+
+def test_idle_connections_are_given_back(group: Group) -> None:
+    """Guards against a VM that keeps what other VMs need after a burst of transactions."""
+    target = group.targets["a"]
+    idle(target, 1.0, 1.0, 1.0, 9.9)
+    assert connections.surplus(target, group, now=10.0) == 3
+
+
+def test_the_last_connection_is_kept(group: Group) -> None:
+    """Guards against opening a connection, which takes a slot, for each statement."""
+    target = group.targets["a"]
+    idle(target, 1.0)
+    assert connections.surplus(target, group, now=10.0) == 0
+
+
+def test_a_leaving_replica_keeps_no_connection(group: Group) -> None:
+    """Guards against new work at a target that leaves."""
+    target = group.targets["b"]
+    target.entry = attrs.evolve(target.entry, state=TargetState.DRAINING)
+    idle(target, 9.9)
+    assert connections.surplus(target, group, now=10.0) == 1
+    assert connections.warm_count(target, group) == 0
+
+
+def test_a_vm_may_exceed_its_even_share_but_not_take_all(group: Group) -> None:
+    """Guards against one VM that starves the others of a target's connections."""
+    target = group.targets["a"]
+    target.open_count = connections.even_share(16, VMS)
+    assert connections.may_open(target, group, VMS, now=0.0)
+    target.open_count = connections.even_share(16, VMS) * connections.MAX_SHARE_FACTOR
+    assert not connections.may_open(target, group, VMS, now=0.0)
+
+
+def test_a_full_target_is_not_asked_at_once_again(group: Group) -> None:
+    """Guards against a storm of connection attempts at a target that has none left."""
+    target = group.targets["a"]
+    target.next_open_at = 5.0
+    assert not connections.may_open(target, group, VMS, now=4.9)
