Give connections to VMs that have none

Cause: after a restart of all VMs the first ones took the connections that the target had left beside those of the lost processes; the last one waited 1.5 s with 33 statements. Change: a VM without a connection says so to its peers, which close what they hold beyond one.

--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -22,6 +22,7 @@
     """State of a VM, sent regularly and at once after a change.
 
     `targets_version` and `catalog_version` tell which versions of the store's tables it knows.
+    `starved` are the targets (by group and id) that have no connection left for the sender.
     `wants_answer` asks for the receiver's own state, at the start of the sender.
     """
 
@@ -29,6 +30,7 @@
     catalog_version: int
     targets_version: int
     losses: tuple[Loss, ...] = ()
+    starved: tuple[tuple[str, str], ...] = ()
     draining: bool = False
     wants_answer: bool = False
     known: tuple[str, ...] = ()
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -1,12 +1,16 @@
 """Exchange of state with the other session proxies of the deployment."""
 
+from collections.abc import Callable
+
 import attrs
 import gevent
 
 from siskindale.context import Clock
 from siskindale.models.gossip import Gossip, Loss, PromotionNotice, StateAnswer, StateRequest
 from siskindale.models.vm import ProxySettings
+from siskindale.proxy.decisions.connections import is_starved
 from siskindale.proxy.state import ProxyState
+from siskindale.proxy.tables import Group, Target
 from siskindale.runtime.logs import logger
 from siskindale.transport.mailbox import Delivery, Mailbox
 
@@ -34,12 +38,18 @@
     """The other VMs of the deployment, found through seeds and each other."""
 
     def __init__(
-        self, settings: ProxySettings, clock: Clock, mailbox: Mailbox, state: ProxyState
+        self,
+        settings: ProxySettings,
+        clock: Clock,
+        mailbox: Mailbox,
+        state: ProxyState,
+        give_way: Callable[[Group, Target], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._mailbox = mailbox
         self._state = state
+        self._give_way = give_way
         self._peers: dict[str, Peer] = {}
         self._seeds = {s.inbox_url for s in settings.seeds if s != settings.peers}
         self._requested_at = 0.0
@@ -99,6 +109,22 @@
             if group.leadership.target and group.leadership.lost_since is not None
         )
 
+    def _starved(self) -> tuple[tuple[str, str], ...]:
+        now = self._clock.monotonic()
+        return tuple(
+            (group.name, target.id)
+            for group in self._state.groups.values()
+            for target in group.targets.values()
+            if is_starved(target, now)
+        )
+
+    def _yield(self, starved: tuple[tuple[str, str], ...]) -> None:
+        for group_name, target_id in starved:
+            group = self._state.groups.get(group_name)
+            target = group.targets.get(target_id) if group else None
+            if group is not None and target is not None:
+                self._give_way(group, target)
+
     def _announce(self, losses: tuple[Loss, ...]) -> None:
         self._forget_silent()
         urls = {peer.url for peer in self._peers.values()}
@@ -111,6 +137,7 @@
             catalog_version=self._state.catalog_version,
             targets_version=self._state.targets_version,
             losses=losses,
+            starved=self._starved(),
             draining=self.draining,
             wants_answer=wants_answer,
             known=tuple(peer.url for peer in self.live()),
@@ -133,6 +160,7 @@
         self._peers[gossip.vm] = Peer(
             gossip.vm, url, boot, self._clock.monotonic(), gossip.losses, gossip.draining
         )
+        self._yield(gossip.starved)
         if gossip.wants_answer:
             self._mailbox.send(url, self._gossip(self._losses(), wants_answer=False))
         self._greet(gossip.known)
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -25,7 +25,7 @@
 OPEN_TIMEOUT_S = 0.6
 ROLLBACK_TIMEOUT_S = 1.0
 # A target without a free connection is asked again after this time.
-FULL_RETRY_S = 0.1
+FULL_RETRY_S = 0.06
 UNREACHABLE_RETRY_S = 0.25
 AVOID_S = 0.5
 
@@ -39,11 +39,13 @@
         clock: Clock,
         groups: dict[str, Group],
         vms: Callable[[], int],
+        notify_starved: Callable[[], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._groups = groups
         self._vms = vms
+        self._notify_starved = notify_starved
 
     def now(self) -> float:
         """Seconds of the suspend-aware clock."""
@@ -76,8 +78,10 @@
         """Takes a connection back; one in an unclear state is closed."""
         target = connection.target
         target.in_flight -= 1
-        if target.closed or connection.state is not SessionState.IDLE or not connection.fresh:
+        unusable = connection.state is not SessionState.IDLE or not connection.fresh
+        if target.closed or unusable or connections.must_yield(target, self.now()):
             self.discard(group, connection)
+            self.dispatch(group)
             return
         connection.used_at = self.now()
         target.idle.append(connection)
@@ -116,6 +120,12 @@
             self.discard(group, target.idle.pop())
         self.dispatch(group)
 
+    def give_way(self, group: Group, target: Target) -> None:
+        """Leaves connections to a VM that has none to this target."""
+        target.yield_until = self.now() + connections.YIELD_S
+        for connection in self._oldest(target, connections.surplus(target, group, self.now())):
+            self.discard(group, connection)
+
     def take_idle(self, target: Target) -> TargetConnection | None:
         """Returns an idle connection to a target, None if there is none."""
         while target.idle:
@@ -188,6 +198,7 @@
         else:
             metrics.CONNECTIONS_OPENED.labels("opened").inc()
             target.refused = False
+            target.full_at = None
             connection.used_at = self.now()
             self._admit(group, connection, started)
         finally:
@@ -212,8 +223,12 @@
             target.refused = True
             target.next_open_at = target.avoid_until = self.now() + UNREACHABLE_RETRY_S
             return
-        target.next_open_at = self.now() + FULL_RETRY_S
-        logger().debug("connection-not-granted", target=target.id, reason=code)
+        if target.full_at is None:
+            logger().info("target-full", target=target.id, reason=str(code), held=target.open_count)
+        target.full_at = self.now()
+        target.next_open_at = target.full_at + FULL_RETRY_S
+        if target.open_count == 0:
+            self._notify_starved()
 
     def _note_unreachable(self, group: Group, target: Target, reason: str, refused: bool) -> None:
         now = self.now()
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -35,10 +35,10 @@
         self._settings = settings
         self._clock = clock
         self._stopping = Event()
-        self._pool = ConnectionPool(settings, clock, groups, self._vm_count)
+        self._pool = ConnectionPool(settings, clock, groups, self._vm_count, self._notify_starved)
         self._state = ProxyState(settings, clock, groups, self._pool)
         self._mailbox = Mailbox(settings.vm, settings.peers, clock)
-        self._peers = Peers(settings, clock, self._mailbox, self._state)
+        self._peers = Peers(settings, clock, self._mailbox, self._state, self._pool.give_way)
         store = PlatformStore(settings.store)
         self._failover = Failover(
             settings, self._state, self._pool, self._peers, FailoverDuty(settings, store)
@@ -83,6 +83,9 @@
     def _vm_count(self) -> int:
         return self._peers.vm_count()
 
+    def _notify_starved(self) -> None:
+        self._peers.announce()
+
     def _reload(self) -> None:
         logger().info("settings-reload", note="addresses are read at start only")
 
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -24,7 +24,8 @@
     """A target and the connections of this VM to it; times are of the suspend-aware clock.
 
     `draining_since` and `missing_since` are when this VM learned that the target is leaving or that
-    its registration is gone.
+    its registration is gone. `full_at` is when the target last refused a connection for lack of
+    room, `yield_until` until when this VM leaves connections to a VM that has none.
     """
 
     entry: TargetEntry
@@ -36,6 +37,8 @@
     measured_at: float = 0.0
     avoid_until: float = 0.0
     next_open_at: float = 0.0
+    full_at: float | None = None
+    yield_until: float = 0.0
     draining_since: float | None = None
     missing_since: float | None = None
     refused: bool = False
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -30,10 +30,10 @@
     StatementResult,
     TransactionStatement,
 )
-from siskindale.store.interface import LiveView, Write
 from siskindale.runtime.health import health_server
 from siskindale.runtime.program import Kind, Parts, answer_alive, readiness, reports
 from siskindale.runtime.shutdown import Shutdown
+from siskindale.store.interface import LiveView, Write
 from siskindale.transactions import TransactionId
 from siskindale.transport.mailbox import Delivery, Mailbox
 from tests.fakes.platform import FakePlatform
--- a/tests/proxy/test_connections.py
+++ b/tests/proxy/test_connections.py
@@ -68,3 +68,26 @@
     target = group.targets["a"]
     target.next_open_at = 5.0
     assert not connections.may_open(target, group, VMS, now=4.9)
+
+
+def test_vms_give_way_to_one_without_connections(group: Group) -> None:
+    """Guards against VMs that start first after an outage and take all connections that are left.
+
+    Seen on scale-2 of rsb-pool: the last VM to start waited over a second with 33 statements.
+    """
+    target = group.targets["a"]
+    idle(target, 9.99, 9.99, 9.99)
+    target.yield_until = 10.5
+    assert connections.surplus(target, group, now=10.0) == 2
+    assert not connections.may_open(target, group, VMS, now=10.0)
+    assert connections.must_yield(target, now=10.0)
+
+
+def test_a_vm_is_starved_only_without_any_connection(group: Group) -> None:
+    """Guards against VMs that take connections from each other although each has one."""
+    target = group.targets["a"]
+    target.full_at = 9.9
+    assert connections.is_starved(target, now=10.0)
+    assert not connections.is_starved(target, now=9.9 + connections.STARVED_S)
+    target.open_count = 1
+    assert not connections.is_starved(target, now=10.0)
