Ask peers for log positions that reads need

Cause: a VM that has no connection to the primary has no sample, and its reads of bounded age wait for the primary although replicas could serve them. Change: such a read asks up to three peers; an answered request proves the age of the sample.

--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from siskindale.models.group import LogPosition
 from siskindale.models.wire import message
 
 
@@ -52,6 +53,27 @@
     targets_version: int
 
 
+@message("sample-request")
+@attrs.frozen
+class SampleRequest:
+    """Asks for the newest proof of where the log of a group ended.
+
+    Only an answered request proves an age: the sample is at most `age_s` older than the request.
+    """
+
+    group: str
+
+
+@message("sample-answer")
+@attrs.frozen
+class SampleAnswer:
+    """Newest sample of a group: a log position that its primary had `age_s` ago."""
+
+    group: str
+    position: LogPosition
+    age_s: float
+
+
 @message("promotion-notice")
 @attrs.frozen
 class PromotionNotice:
--- a/siskindale/proxy/executor.py
+++ b/siskindale/proxy/executor.py
@@ -1,9 +1,11 @@
 """Execution of statements on targets, with retries where they are safe."""
 
+from collections.abc import Callable
+
 import attrs
 import gevent
 
-from siskindale.models.catalog import Route
+from siskindale.models.catalog import Consistency, Route
 from siskindale.models.group import LogPosition
 from siskindale.models.statements import Access, ErrorCode, Reply, SessionState, Statement, Verb
 from siskindale.platform import wire
@@ -24,6 +26,8 @@
 # A statement of a transaction without a reply for this long is given up, so that the client can
 # repeat the transaction while it has time.
 TRANSACTION_REPLY_S = 0.5
+# A peer answers within a round trip; then the read looks again for a target.
+SAMPLE_WAIT_S = 0.1
 
 _BROKEN = (OSError, ReplyTimeoutError, wire.ProtocolError)
 
@@ -72,8 +76,9 @@
 class Executor:
     """Runs statements of client sessions on the connections of a pool."""
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, pool: ConnectionPool, request_sample: Callable[[str], None]) -> None:
         self._pool = pool
+        self._request_sample = request_sample
 
     def run_single(self, operation: Operation, values: SessionValues) -> Reply:
         """Runs a statement outside a transaction until it has a reply or no time is left."""
@@ -82,6 +87,8 @@
             need = self._need(operation)
             connection = self._pool.acquire(operation.group, need, operation.excluded)
             if connection is None:
+                if self._pool.now() < operation.deadline:
+                    continue
                 return self._refused(operation, last_error)
             operation.attempts += 1
             outcome = self._attempt(operation, values, connection, need)
@@ -101,7 +108,32 @@
         if operation.group.leadership.target in operation.excluded:
             operation.excluded.clear()
             minimum = None
-        return Need(minimum, operation.route.priority, operation.deadline, minimum is None)
+        return self._need_of(
+            operation.group, operation.route, minimum, operation.access, operation.deadline
+        )
+
+    def _need_of(
+        self,
+        group: Group,
+        route: Route,
+        minimum: LogPosition | None,
+        access: Access,
+        deadline: float,
+    ) -> Need:
+        """Returns what a statement needs.
+
+        A read that only lacks a sample asks peers for one and waits for the primary meanwhile, but
+        only as long as an answer takes.
+        """
+        lacks_sample = (
+            minimum is None
+            and access is Access.READ
+            and route.consistency is not Consistency.LATEST
+        )
+        if lacks_sample:
+            self._request_sample(group.name)
+            deadline = min(deadline, self._pool.now() + SAMPLE_WAIT_S)
+        return Need(minimum, route.priority, deadline, minimum is None)
 
     def _refused(self, operation: Operation, error: ErrorCode) -> Reply:
         logger().info(
@@ -269,9 +301,12 @@
             if transaction.group.leadership.target in excluded:
                 excluded.clear()
                 minimum = None
-            need = Need(minimum, route.priority, deadline, minimum is None)
+            access = Access.READ if transaction.read_only else Access.WRITE
+            need = self._need_of(transaction.group, route, minimum, access, deadline)
             connection = self._pool.acquire(transaction.group, need, excluded)
             if connection is None:
+                if self._pool.now() < deadline:
+                    continue
                 logger().info(
                     "transaction-refused",
                     group=transaction.group.name,
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -6,7 +6,15 @@
 import gevent
 
 from siskindale.context import Clock
-from siskindale.models.gossip import Gossip, Loss, PromotionNotice, StateAnswer, StateRequest
+from siskindale.models.gossip import (
+    Gossip,
+    Loss,
+    PromotionNotice,
+    SampleAnswer,
+    SampleRequest,
+    StateAnswer,
+    StateRequest,
+)
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy.decisions.connections import is_starved
 from siskindale.proxy.state import ProxyState
@@ -20,6 +28,9 @@
 SILENCE_S = 3.5
 FORGET_S = 30.0
 REQUEST_INTERVAL_S = 0.5
+SAMPLE_INTERVAL_S = 0.1
+SAMPLE_TIMEOUT_S = 2.0
+SAMPLE_PEERS = 3
 
 
 @attrs.define
@@ -53,11 +64,15 @@
         self._peers: dict[str, Peer] = {}
         self._seeds = {s.inbox_url for s in settings.seeds if s != settings.peers}
         self._requested_at = 0.0
+        self._sample_requests: dict[int, float] = {}
+        self._samples_asked: dict[str, float] = {}
         self.draining = False
         mailbox.on(Gossip, self._on_gossip)
         mailbox.on(StateRequest, self._on_request)
         mailbox.on(StateAnswer, self._on_answer)
         mailbox.on(PromotionNotice, self._on_promotion)
+        mailbox.on(SampleRequest, self._on_sample_request)
+        mailbox.on(SampleAnswer, self._on_sample_answer)
 
     def live(self) -> list[Peer]:
         """Returns the peers that were heard of lately."""
@@ -102,6 +117,42 @@
         for url in known[:3]:
             self._mailbox.send(url, StateRequest())
 
+    def request_sample(self, group: str) -> None:
+        """Asks some peers for a sample of a group, at a limited rate."""
+        now = self._clock.monotonic()
+        if now < self._samples_asked.get(group, 0.0) + SAMPLE_INTERVAL_S:
+            return
+        self._samples_asked[group] = now
+        asked = sorted(self.live(), key=lambda peer: peer.draining)[:SAMPLE_PEERS]
+        for peer in asked:
+            correlation = self._mailbox.next_correlation()
+            self._sample_requests[correlation] = now
+            self._mailbox.send(peer.url, SampleRequest(group), correlation)
+        self._forget_requests(now)
+
+    def _forget_requests(self, now: float) -> None:
+        expired = [c for c, at in self._sample_requests.items() if at < now - SAMPLE_TIMEOUT_S]
+        for correlation in expired:
+            del self._sample_requests[correlation]
+
+    def _on_sample_request(self, delivery: Delivery) -> None:
+        request: SampleRequest = delivery.body
+        group = self._state.groups.get(request.group)
+        if group is None or not group.freshness.samples:
+            return
+        sample = group.freshness.samples[-1]
+        age = self._clock.monotonic() - sample.taken_at
+        answer = SampleAnswer(group.name, sample.position, age)
+        envelope = delivery.envelope
+        self._mailbox.send(envelope.reply_to, answer, envelope.correlation_id, envelope.sender_boot)
+
+    def _on_sample_answer(self, delivery: Delivery) -> None:
+        answer: SampleAnswer = delivery.body
+        asked = self._sample_requests.pop(delivery.envelope.correlation_id, None)
+        group = self._state.groups.get(answer.group)
+        if asked is not None and group is not None:
+            group.freshness.note(answer.position, asked - answer.age_s)
+
     def _losses(self) -> tuple[Loss, ...]:
         return tuple(
             Loss(group.name, group.leadership.target, group.leadership.refused)
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -45,7 +45,9 @@
         )
         self._catalog = CatalogFollower(store, self._state)
         self._targets = TargetsFollower(store, self._state, self._peers.request_state)
-        self._server = SessionServer(settings.clients, self._state, Executor(self._pool))
+        self._server = SessionServer(
+            settings.clients, self._state, Executor(self._pool, self._peers.request_sample)
+        )
 
     def run(self) -> ExitStatus:
         """Serves until SIGTERM, then drains."""
