Start a transaction while its client prepares the first statement

Cause: filings over 100 ms are transactions of many statements; their first statement waited for a connection and a round trip for BEGIN. Change: the proxy answers BEGIN at once and starts the transaction in the background.

--- a/siskindale/proxy/executor.py
+++ b/siskindale/proxy/executor.py
@@ -34,9 +34,10 @@
 
 @attrs.define
 class Transaction:
-    """An open transaction; it takes a connection with its first statement.
+    """An open transaction.
 
-    `reported` is set once the client has been told that the transaction failed.
+    `starting` is the greenlet that starts it on a target while the client prepares its first
+    statement. `reported` is set once the client has been told that the transaction failed.
     """
 
     read_only: bool
@@ -44,6 +45,7 @@
     group: Group
     arrived: float
     connection: TargetConnection | None = None
+    starting: gevent.Greenlet | None = None
     wrote: bool = False
     failed: bool = False
     reported: bool = False
@@ -285,7 +287,30 @@
         if leadership.note_not_primary(group, connection.target, self._pool.now()):
             logger().info("primary-demoted", group=group.name, target=connection.target.id)
 
+    def begin_early(
+        self,
+        transaction: Transaction,
+        values: SessionValues,
+        session_position: LogPosition | None,
+    ) -> None:
+        """Starts a transaction in the background, while its client prepares a statement."""
+        transaction.starting = gevent.spawn(self._begin, transaction, values, session_position)
+
     def begin(
+        self,
+        transaction: Transaction,
+        values: SessionValues,
+        session_position: LogPosition | None,
+    ) -> Reply | None:
+        """Waits until a transaction has started; returns None on success, else the error."""
+        starting, transaction.starting = transaction.starting, None
+        if starting is not None:
+            starting.join()
+            if transaction.connection is not None:
+                return None
+        return self._begin(transaction, values, session_position)
+
+    def _begin(
         self, transaction: Transaction, values: SessionValues, session_position: LogPosition | None
     ) -> Reply | None:
         """Starts a transaction on a target; returns None on success, else the error."""
@@ -351,6 +376,9 @@
             logger().info("begin-failed", target=connection.target.id, reason=repr(error))
             self._pool.break_off(transaction.group, connection)
             return ErrorCode.FAILED
+        except BaseException:
+            self._pool.break_off(transaction.group, connection)
+            raise
         failed = next((r for r in replies if r.error is not None), None)
         if failed is None:
             if proof:
@@ -432,6 +460,9 @@
 
     def end(self, transaction: Transaction) -> None:
         """Gives the transaction's connection back, rolling back what is open on it."""
+        starting, transaction.starting = transaction.starting, None
+        if starting is not None:
+            starting.kill()
         connection, transaction.connection = transaction.connection, None
         if connection is None:
             return
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -195,6 +195,7 @@
         if verb in (Verb.BEGIN, Verb.BEGIN_READ_ONLY):
             read_only = verb is Verb.BEGIN_READ_ONLY
             self._transaction = Transaction(read_only, route, group, arrived)
+            self._executor.begin_early(self._transaction, self._values, self._position)
             return Reply(receipt=_DONE, state=SessionState.OPEN)
         return self._run_single(statement, route, arrived)
 
