Detect a lost primary faster, and drop positions that a promotion rolled back

Cause: the loss of a primary was told to peers with the next regular message, a dark one was believed after 1.4 s, and statements were sent to a silent primary meanwhile. A new primary reports positions of the old term until its first commit, so rolled-back samples stayed in use. Change: a loss is told at once; probes every 150 ms with 250 ms for the reply; connecting and the start of a session have limits of their own; a silent target gets no statement until it answers; a lower position ends all earlier samples.

--- a/siskindale/proxy/connection.py
+++ b/siskindale/proxy/connection.py
@@ -22,6 +22,15 @@
 USER_TIMEOUT_MS = 4000
 
 
+# The network answers within milliseconds, but the start of a session waits for a slot.
+CONNECT_TIMEOUT_S = 0.3
+START_TIMEOUT_S = 1.0
+
+
+class ConnectTimeoutError(Exception):
+    """Nothing answers at the target's address."""
+
+
 class ConnectRefusedError(Exception):
     """Nothing listens at the target's address."""
 
@@ -52,18 +61,24 @@
     outstanding: int = 0
 
     @classmethod
-    def open(cls, target: Target, timeout_s: float) -> "TargetConnection":
-        """Opens a connection; raises `ConnectRefusedError`, `StartRefusedError` or `OSError`."""
+    def open(cls, target: Target) -> "TargetConnection":
+        """Opens a connection.
+
+        Raises `ConnectRefusedError` or `ConnectTimeoutError` where nothing answers at the address,
+        `StartRefusedError`, or another `OSError` where the start of the session fails.
+        """
         address = target.entry.address
         try:
-            sock = socket.create_connection((address.host, address.port), timeout_s)
+            sock = socket.create_connection((address.host, address.port), CONNECT_TIMEOUT_S)
+        except TimeoutError as error:
+            raise ConnectTimeoutError(str(address)) from error
         except ConnectionRefusedError as error:
             raise ConnectRefusedError(str(address)) from error
         sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
         sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         connection = cls(target, sock, wire.LineReader(sock))
         try:
-            connection._start(timeout_s)
+            connection._start()
         except BaseException:
             connection.close()
             raise
@@ -87,9 +102,9 @@
         self.closed = True
         self._socket.close()
 
-    def _start(self, timeout_s: float) -> None:
+    def _start(self) -> None:
         entry = self.target.entry
-        self._socket.settimeout(timeout_s)
+        self._socket.settimeout(START_TIMEOUT_S)
         self._socket.sendall(wire.encode_start(entry.group, entry.id))
         reply = wire.read_started(self._reader)
         if reply.error is not None:
--- a/siskindale/proxy/decisions/failover.py
+++ b/siskindale/proxy/decisions/failover.py
@@ -14,7 +14,7 @@
 REPORTER_SHARE = 0.3
 # A refused connection shows that the process has ended; silence may be a short cut of the network.
 REFUSED_CONFIRM_S = 0.0
-SILENT_CONFIRM_S = 0.3
+SILENT_CONFIRM_S = 0.1
 # Without a peer that confirms it, a refusal must last longer than a restart of the process.
 ALONE_CONFIRM_S = 0.5
 # A group without any known primary gets one after the targets had time to register.
--- a/siskindale/proxy/decisions/freshness.py
+++ b/siskindale/proxy/decisions/freshness.py
@@ -29,14 +29,14 @@
     def note(self, position: LogPosition, taken_at: float) -> None:
         """Records that a proven primary replied with `position` to a request of `taken_at`.
 
-        Samples of older terms are dropped: a promotion may have rolled their positions back, and
-        then no log has them.
+        Samples of older terms or higher positions are dropped: a promotion may have rolled their
+        positions back, and then no log has them.
         """
         newest = self.samples[-1] if self.samples else None
         if newest is not None:
             if position.term < newest.position.term:
                 return
-            if position.term > newest.position.term:
+            if position.term > newest.position.term or position < newest.position:
                 self.samples.clear()
             elif taken_at < newest.taken_at + SAMPLE_INTERVAL_S:
                 return
--- a/siskindale/proxy/decisions/leadership.py
+++ b/siskindale/proxy/decisions/leadership.py
@@ -26,12 +26,18 @@
     return True
 
 
-def note_unreachable(group: Group, target: Target, now: float, refused: bool) -> None:
-    """Records that no connection to a target can be opened."""
+def note_unreachable(group: Group, target: Target, now: float, refused: bool) -> bool:
+    """Records that no connection to a target can be opened.
+
+    Returns whether it is the primary and that is news.
+    """
     known = group.leadership
-    if known.target == target.id:
-        known.lost_since = known.lost_since or now
-        known.refused = refused
+    if known.target != target.id:
+        return False
+    news = known.lost_since is None or known.refused != refused
+    known.lost_since = known.lost_since or now
+    known.refused = refused
+    return news
 
 
 def note_reachable(group: Group, target: Target) -> None:
--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -9,7 +9,7 @@
 from siskindale.platform import wire
 from siskindale.platform.promotion import Promotion, PromotionClient
 from siskindale.proxy import metrics
-from siskindale.proxy.connection import ReplyTimeoutError
+from siskindale.proxy.connection import ReplyTimeoutError, TargetConnection
 from siskindale.proxy.decisions import failover, leadership
 from siskindale.proxy.decisions.failover import Reason, Reports
 from siskindale.proxy.duty import FailoverDuty
@@ -21,11 +21,12 @@
 
 TICK_S = 0.05
 MAINTENANCE_S = 0.25
-PROBE_INTERVAL_S = 0.25
-PROBE_TIMEOUT_S = 0.35
+PROBE_INTERVAL_S = 0.15
+PROBE_TIMEOUT_S = 0.25
 # While no primary is known, each target is asked this often.
 SEARCH_INTERVAL_S = 0.06
-STATUS_TIMEOUT_S = 0.3
+STATUS_TIMEOUT_S = 0.15
+IDLE_CHECK_S = 0.005
 # A promotion takes about a second; after this time another target is tried.
 PROMOTION_LIMIT_S = 2.2
 RETRY_S = 0.1
@@ -47,6 +48,8 @@
         self.reason_since: float | None = None
         self.probing: set[str] = set()
         self.replacing = False
+        self.ordered = ""
+        self.ordered_at = 0.0
 
 
 class Failover:
@@ -132,8 +135,18 @@
         elif now - max(group.leadership.proven_at, watch.probed_at) >= PROBE_INTERVAL_S:
             watch.probed_at = now
             self._probe(watch, primary)
+        self._forget_order(watch, now)
         self._consider(watch, now)
 
+    def _forget_order(self, watch: GroupWatch, now: float) -> None:
+        """Lets another VM act if an announced promotion does not come about."""
+        known = watch.group.leadership
+        if known.ordered != watch.ordered:
+            watch.ordered, watch.ordered_at = known.ordered, now
+        elif known.ordered and now - watch.ordered_at > PROMOTION_LIMIT_S + TICK_S:
+            logger().warning("promotion-overdue", group=watch.group.name, target=known.ordered)
+            known.ordered = ""
+
     def _note_absence(self, watch: GroupWatch, primary: Target | None, now: float) -> None:
         if primary is not None or not watch.group.targets:
             watch.absent_since = None
@@ -225,8 +238,18 @@
         gevent.joinall([greenlet for _, greenlet in asked], timeout=STATUS_TIMEOUT_S * 2)
         return {name: g.value for name, g in asked if g.ready() and g.value is not None}
 
+    def _idle_connection(self, target: Target) -> TargetConnection | None:
+        """Returns a connection to a target, waiting a little where all are in use."""
+        give_up = self._pool.now() + STATUS_TIMEOUT_S
+        while self._pool.now() < give_up:
+            connection = self._pool.take_idle(target)
+            if connection is not None:
+                return connection
+            gevent.sleep(IDLE_CHECK_S)
+        return None
+
     def _received_position(self, group: Group, target: Target) -> LogPosition | None:
-        connection = self._pool.take_idle(target)
+        connection = self._idle_connection(target)
         if connection is None:
             return None
         try:
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -13,6 +13,7 @@
 from siskindale.proxy import metrics
 from siskindale.proxy.connection import (
     ConnectRefusedError,
+    ConnectTimeoutError,
     ReplyTimeoutError,
     StartRefusedError,
     TargetConnection,
@@ -22,12 +23,13 @@
 from siskindale.proxy.tables import Group, Need, Target, Waiter
 from siskindale.runtime.logs import logger
 
-OPEN_TIMEOUT_S = 0.6
 ROLLBACK_TIMEOUT_S = 1.0
 # A target without a free connection is asked again after this time.
 FULL_RETRY_S = 0.06
 UNREACHABLE_RETRY_S = 0.25
 AVOID_S = 0.5
+# Time for a new connection to show whether a silent target still lives.
+RECHECK_S = 0.3
 
 
 class ConnectionPool:
@@ -39,13 +41,13 @@
         clock: Clock,
         groups: dict[str, Group],
         vms: Callable[[], int],
-        notify_starved: Callable[[], None],
+        notify_peers: Callable[[], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._groups = groups
         self._vms = vms
-        self._notify_starved = notify_starved
+        self._notify_peers = notify_peers
 
     def now(self) -> float:
         """Seconds of the suspend-aware clock."""
@@ -188,17 +190,22 @@
     def _open(self, group: Group, target: Target) -> None:
         started = self.now()
         try:
-            connection = TargetConnection.open(target, OPEN_TIMEOUT_S)
+            connection = TargetConnection.open(target)
         except ConnectRefusedError:
             self._note_unreachable(group, target, "connection refused", refused=True)
         except StartRefusedError as error:
             self._note_start_refused(group, target, error)
+        except ConnectTimeoutError:
+            self._note_unreachable(group, target, "no answer", refused=False)
         except (OSError, wire.ProtocolError) as error:
-            self._note_unreachable(group, target, str(error) or type(error).__name__, False)
+            # The host answers, so this is no sign that the target has ended.
+            target.next_open_at = self.now() + UNREACHABLE_RETRY_S
+            logger().info("connection-failed", target=target.id, reason=repr(error))
         else:
             metrics.CONNECTIONS_OPENED.labels("opened").inc()
             target.refused = False
             target.full_at = None
+            target.avoid_until = 0.0
             connection.used_at = self.now()
             self._admit(group, connection, started)
         finally:
@@ -219,7 +226,8 @@
         metrics.CONNECTIONS_OPENED.labels(code.value if code else "unknown").inc()
         if code is ErrorCode.WRONG_TARGET:
             logger().warning("target-replaced", group=group.name, target=target.id)
-            leadership.note_unreachable(group, target, self.now(), refused=True)
+            if leadership.note_unreachable(group, target, self.now(), refused=True):
+                self._notify_peers()
             target.refused = True
             target.next_open_at = target.avoid_until = self.now() + UNREACHABLE_RETRY_S
             return
@@ -228,7 +236,7 @@
         target.full_at = self.now()
         target.next_open_at = target.full_at + FULL_RETRY_S
         if target.open_count == 0:
-            self._notify_starved()
+            self._notify_peers()
 
     def _note_unreachable(self, group: Group, target: Target, reason: str, refused: bool) -> None:
         now = self.now()
@@ -240,7 +248,8 @@
         target.refused = refused
         target.next_open_at = now + UNREACHABLE_RETRY_S
         target.avoid_until = now + AVOID_S
-        leadership.note_unreachable(group, target, now, refused)
+        if leadership.note_unreachable(group, target, now, refused):
+            self._notify_peers()
 
     def _roll_back(self, group: Group, connection: TargetConnection) -> None:
         try:
@@ -279,6 +288,7 @@
 
     def _note_silent(self, group: Group, target: Target, asked: float) -> None:
         """Checks by a new connection whether only the old one was cut."""
+        target.avoid_until = self.now() + RECHECK_S
         target.next_open_at = 0.0
         self._start_opening(group, target)
 
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -35,7 +35,7 @@
         self._settings = settings
         self._clock = clock
         self._stopping = Event()
-        self._pool = ConnectionPool(settings, clock, groups, self._vm_count, self._notify_starved)
+        self._pool = ConnectionPool(settings, clock, groups, self._vm_count, self._notify_peers)
         self._state = ProxyState(settings, clock, groups, self._pool)
         self._mailbox = Mailbox(settings.vm, settings.peers, clock)
         self._peers = Peers(settings, clock, self._mailbox, self._state, self._pool.give_way)
@@ -85,7 +85,7 @@
     def _vm_count(self) -> int:
         return self._peers.vm_count()
 
-    def _notify_starved(self) -> None:
+    def _notify_peers(self) -> None:
         self._peers.announce()
 
     def _reload(self) -> None:
