Read registrations in turn, probe primaries on silence, stay in the failure domain

Change: a statement waits up to 20 ms for a target of its own failure domain; a primary is probed every 500 ms, and after 120 ms without a reply that it owes; closed idle connections are noticed at each tick; a VM reads registrations every 5 s and tells its peers what has changed.

--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -53,6 +53,14 @@
     targets_version: int
 
 
+@message("targets-notice")
+@attrs.frozen
+class TargetsNotice:
+    """Registrations whose state, role or presence has changed; None stands for a missing one."""
+
+    changes: dict[str, dict[str, Any] | None]
+
+
 @message("sample-request")
 @attrs.frozen
 class SampleRequest:
--- a/siskindale/proxy/connection.py
+++ b/siskindale/proxy/connection.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent import socket
 
+from siskindale.context import SuspendAwareClock
 from siskindale.models.group import LogPosition
 from siskindale.models.statements import Reply, SessionState
 from siskindale.platform import wire
@@ -18,6 +19,8 @@
 )
 from siskindale.proxy.tables import Target
 
+now = SuspendAwareClock().monotonic
+
 # Unacknowledged data ends the connection after this time, also where the peer sends no reset.
 USER_TIMEOUT_MS = 4000
 
@@ -115,6 +118,8 @@
         """Sends messages in one flight; each one is answered by one reply."""
         batch = list(messages)
         self.outstanding += len(batch)
+        if self.target.silent_since is None:
+            self.target.silent_since = now()
         self._socket.sendall(b"".join(batch))
 
     def receive(self, timeout_s: float) -> Reply:
@@ -123,6 +128,8 @@
             reply = wire.read_reply(self._reader)
         self.outstanding -= 1
         self.state = reply.state
+        others = self.target.in_flight > 1 or self.outstanding
+        self.target.silent_since = now() if others else None
         return reply
 
 
--- a/siskindale/proxy/decisions/placement.py
+++ b/siskindale/proxy/decisions/placement.py
@@ -8,15 +8,16 @@
 
 from siskindale.proxy.tables import INITIAL_LATENCY_S, Group, Need, Target
 
-# Round trip to another failure domain, and a premium for the bytes sent there.
-REMOTE_PENALTY_S = 0.004
+# A round trip to another failure domain takes 3 ms and its bytes are dear, so a statement waits in
+# its own one for up to about two others.
+REMOTE_PENALTY_S = 0.02
 # Keeps reads that a replica can serve away from the primary, which alone can serve writes.
 PRIMARY_PENALTY_S = 0.008
 # A slow target is tried again after its measured latency has faded to that of an unknown one.
 LATENCY_HALF_LIFE_S = 2.0
 LATENCY_WEIGHT = 0.2
-# A leaving primary serves until its successor leads, but not up to the end of its service.
-LEAVING_PRIMARY_SHARE = 0.5
+# A leaving primary serves until its successor leads, but not beyond the time that targets have.
+LEAVING_MARGIN_S = 0.5
 
 
 def candidates(
@@ -37,7 +38,7 @@
         return False
     if target.leaving:
         since = target.draining_since or 0.0
-        return is_primary and now < since + drain_s * LEAVING_PRIMARY_SHARE
+        return is_primary and now < since + drain_s - LEAVING_MARGIN_S
     return is_primary or not need.primary_only
 
 
--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -19,7 +19,9 @@
 
 TICK_S = 0.05
 MAINTENANCE_S = 0.25
-PROBE_INTERVAL_S = 0.15
+PROBE_INTERVAL_S = 0.5
+# A primary that owes replies for this long without sending any is probed at once.
+SILENCE_PROBE_S = 0.12
 PROBE_TIMEOUT_S = 0.25
 # While no primary is known, each target is asked this often.
 SEARCH_INTERVAL_S = 0.06
@@ -153,12 +155,20 @@
         self._note_absence(watch, primary, now)
         if primary is None or group.leadership.lost_since is not None or group.leadership.ordered:
             self._search(watch, now)
-        elif now - max(group.leadership.proven_at, watch.probed_at) >= PROBE_INTERVAL_S:
+        elif self._is_probe_due(watch, primary, now):
             watch.probed_at = now
             self._probe(watch, primary)
         self._forget_order(watch, now)
         self._consider(watch, now)
 
+    def _is_probe_due(self, watch: GroupWatch, primary: Target, now: float) -> bool:
+        if self._pool.drop_closed(watch.group, primary):
+            self._pool.reopen(watch.group, primary)
+        silent = primary.silent_since
+        if silent is not None and now - silent >= SILENCE_PROBE_S:
+            return now - watch.probed_at >= SILENCE_PROBE_S
+        return now - max(watch.group.leadership.proven_at, watch.probed_at) >= PROBE_INTERVAL_S
+
     def _forget_order(self, watch: GroupWatch, now: float) -> None:
         """Lets another VM act if an announced promotion does not come about."""
         known = watch.group.leadership
--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -11,10 +11,12 @@
 from siskindale.runtime.logs import logger
 from siskindale.store.interface import Changes, PlatformError, PlatformFailure, WatchedTables
 
-# A watch that the network has cut silently is noticed after this time.
-CATALOG_WAIT_S = 2.5
-# Registrations change several times a second, and each call has a price.
-TARGETS_INTERVAL_S = 1.5
+# A watch that the network has cut silently is noticed after this time. Peers tell of newer versions
+# meanwhile.
+CATALOG_WAIT_S = 8.0
+# Each read has a price, so VMs read in turn and tell each other what has changed. A VM that hears
+# nothing still learns within the time that targets serve after they were reported as leaving.
+TARGETS_INTERVAL_S = 5.0
 RETRY_S = 0.5
 # Targets that live register again within about two seconds of the store's return.
 MISSING_S = 3.0
@@ -90,10 +92,17 @@
 class TargetsFollower:
     """Takes changes of registrations into use, and missing ones after a while."""
 
-    def __init__(self, tables: WatchedTables, state: ProxyState, ask_peers: Callable[[], None]):
+    def __init__(
+        self,
+        tables: WatchedTables,
+        state: ProxyState,
+        ask_peers: Callable[[], None],
+        notify_peers: Callable[[], None],
+    ) -> None:
         self._follower = TableFollower(tables, TARGETS_TABLE, 0)
         self._state = state
         self._ask_peers = ask_peers
+        self._notify_peers = notify_peers
 
     def run(self) -> None:
         """Follows until it is killed."""
@@ -103,6 +112,7 @@
 
     def _step(self) -> bool:
         was_available = self._follower.available
+        asked_at = self._state.now()
         answer = self._follower.next_changes()
         if isinstance(answer, Failure):
             self._ask_peers()
@@ -114,6 +124,8 @@
             self._state.replace_targets(present, changes.version, "store")
         else:
             self._state.adopt_targets(entries, changes.version, "store")
+        self._state.confirm_targets(asked_at)
+        self._notify_peers()
         if was_available:
             self._state.forget_missing(MISSING_S)
         else:
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -14,6 +14,7 @@
     SampleRequest,
     StateAnswer,
     StateRequest,
+    TargetsNotice,
 )
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy.decisions.connections import is_starved
@@ -22,10 +23,10 @@
 from siskindale.runtime.logs import logger
 from siskindale.transport.mailbox import Delivery, Mailbox
 
-GOSSIP_INTERVAL_S = 1.0
+GOSSIP_INTERVAL_S = 1.5
 LOSS_INTERVAL_S = 0.2
 # Three missed messages, with room for a slow VM.
-SILENCE_S = 3.5
+SILENCE_S = 5.0
 FORGET_S = 30.0
 REQUEST_INTERVAL_S = 0.5
 SAMPLE_INTERVAL_S = 0.1
@@ -72,6 +73,7 @@
         mailbox.on(StateRequest, self._on_request)
         mailbox.on(StateAnswer, self._on_answer)
         mailbox.on(PromotionNotice, self._on_promotion)
+        mailbox.on(TargetsNotice, self._on_targets)
         mailbox.on(SampleRequest, self._on_sample_request)
         mailbox.on(SampleAnswer, self._on_sample_answer)
 
@@ -112,6 +114,16 @@
         for peer in self.live():
             self._mailbox.send(peer.url, notice)
 
+    def notify_targets(self) -> None:
+        """Tells all peers of changed registrations, if there are any."""
+        changes = {
+            name: None if raw is None else dict(raw)
+            for name, raw in self._state.take_changes().items()
+        }
+        if changes:
+            for peer in self.live():
+                self._mailbox.send(peer.url, TargetsNotice(changes))
+
     def request_state(self) -> None:
         """Asks a peer for what the store holds, at a limited rate."""
         now = self._clock.monotonic()
@@ -185,9 +197,12 @@
         self._forget_silent()
         urls = {peer.url for peer in self._peers.values()}
         for url in urls | self._seeds:
-            self._mailbox.send(url, self._gossip(losses, wants_answer=url not in urls))
+            new = url not in urls
+            self._mailbox.send(url, self._gossip(losses, wants_answer=new, greeting=new))
 
-    def _gossip(self, losses: tuple[Loss, ...], wants_answer: bool) -> Gossip:
+    def _gossip(
+        self, losses: tuple[Loss, ...], wants_answer: bool, greeting: bool = True
+    ) -> Gossip:
         return Gossip(
             vm=self._settings.vm,
             catalog_version=self._state.catalog_version,
@@ -196,7 +211,7 @@
             starved=self._starved(),
             draining=self.draining,
             wants_answer=wants_answer,
-            known=tuple(peer.url for peer in self.live()),
+            known=tuple(peer.url for peer in self.live()) if greeting else (),
         )
 
     def _forget_silent(self) -> None:
@@ -242,6 +257,9 @@
         if answer.targets_version > self._state.targets_version:
             self._state.replace_targets(answer.targets, answer.targets_version, "peer")
 
+    def _on_targets(self, delivery: Delivery) -> None:
+        self._state.adopt_notice(delivery.body.changes)
+
     def _on_promotion(self, delivery: Delivery) -> None:
         if self._on_notice is not None:
             self._on_notice(delivery.body, delivery.envelope.sender)
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -91,7 +91,10 @@
 
     def break_off(self, group: Group, connection: TargetConnection) -> None:
         """Closes a connection that is in use."""
-        connection.target.in_flight -= 1
+        target = connection.target
+        target.in_flight -= 1
+        if not target.in_flight:
+            target.silent_since = None
         self.discard(group, connection)
         self.dispatch(group)
 
@@ -99,6 +102,14 @@
         """Ends the transaction on a connection in the background and takes the connection back."""
         gevent.spawn(self._roll_back, group, connection)
 
+    def drop_closed(self, group: Group, target: Target) -> bool:
+        """Drops idle connections that the target has closed; returns whether there were any."""
+        closed = [connection for connection in target.idle if not connection.fresh]
+        for connection in closed:
+            target.idle.remove(connection)
+            self.discard(group, connection)
+        return bool(closed)
+
     def discard(self, group: Group, connection: TargetConnection) -> None:
         """Closes a connection that is in no list."""
         if not connection.closed:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -44,7 +44,9 @@
             settings, self._state, self._pool, self._peers, FailoverDuty(settings, store)
         )
         self._catalog = CatalogFollower(store, self._state)
-        self._targets = TargetsFollower(store, self._state, self._peers.request_state)
+        self._targets = TargetsFollower(
+            store, self._state, self._peers.request_state, self._peers.notify_targets
+        )
         self._server = SessionServer(
             settings.clients, self._state, Executor(self._pool, self._peers.request_sample)
         )
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -36,6 +36,8 @@
         self._raw_targets: dict[str, Mapping[str, Any]] = {}
         self._targets_version = 0
         self._targets_known = False
+        self._confirmed_at: float | None = None
+        self._changed: dict[str, Mapping[str, Any] | None] = {}
         self._loaded = Event()
 
     @property
@@ -126,6 +128,24 @@
             else:
                 self._adopt_target(target_id, raw, source)
 
+    def adopt_notice(self, changes: Mapping[str, Mapping[str, Any] | None]) -> None:
+        """Takes changes that a peer has seen into use; the own version of the table stays."""
+        for target_id, raw in changes.items():
+            if raw is None:
+                self._note_missing(target_id)
+            else:
+                self._adopt_target(target_id, raw, "peer")
+        self._changed.clear()
+
+    def take_changes(self) -> Mapping[str, Mapping[str, Any] | None]:
+        """Returns the changes since the last call that peers should know."""
+        changes, self._changed = self._changed, {}
+        return changes
+
+    def confirm_targets(self, asked_at: float) -> None:
+        """Records that the registrations are those of the store at `asked_at` or later."""
+        self._confirmed_at = asked_at
+
     def replace_targets(
         self, entries: Mapping[str, Mapping[str, Any]], version: int, source: str
     ) -> None:
@@ -187,6 +207,7 @@
         for target in self._targets():
             if target.id == target_id and target.missing_since is None:
                 target.missing_since = self.now()
+                self._changed[target_id] = None
                 logger().info("registration-missing", target=target_id)
 
     def _adopt_target(self, target_id: str, raw: Mapping[str, Any], source: str) -> None:
@@ -211,6 +232,7 @@
     def _add(self, group: Group, entry: TargetEntry, source: str) -> None:
         target = Target(entry)
         group.targets[entry.id] = target
+        self._changed[entry.id] = self._raw_targets[entry.id]
         self._note_draining(target)
         logger().info(
             "target-added",
@@ -231,6 +253,7 @@
         target.entry = entry
         target.missing_since = None
         if changed:
+            self._changed[entry.id] = self._raw_targets[entry.id]
             self._note_draining(target)
             logger().info(
                 "target-changed",
@@ -245,7 +268,7 @@
     def _note_draining(self, target: Target) -> None:
         if target.entry.state is TargetState.DRAINING:
             if target.draining_since is None:
-                target.draining_since = self.now()
+                target.draining_since = self._confirmed_at or self.now()
         else:
             target.draining_since = None
 
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -23,9 +23,10 @@
 class Target:
     """A target and the connections of this VM to it; times are of the suspend-aware clock.
 
-    `draining_since` and `missing_since` are when this VM learned that the target is leaving or that
-    its registration is gone. `full_at` is when the target last refused a connection for lack of
-    room, `yield_until` until when this VM leaves connections to a VM that has none.
+    `draining_since` is when the target was last known not to leave, `missing_since` when this VM
+    learned that its registration is gone. `full_at` is when the target last refused a connection
+    for lack of room, `silent_since` since when statements wait without any reply, `yield_until`
+    until when this VM leaves connections to a VM that has none.
     """
 
     entry: TargetEntry
@@ -35,6 +36,7 @@
     in_flight: int = 0
     latency_s: float = INITIAL_LATENCY_S
     measured_at: float = 0.0
+    silent_since: float | None = None
     avoid_until: float = 0.0
     next_open_at: float = 0.0
     full_at: float | None = None
--- a/tests/proxy/test_failover.py
+++ b/tests/proxy/test_failover.py
@@ -105,7 +105,7 @@
 
 def test_an_unanswered_call_is_given_up_soon_and_later_with_more_patience() -> None:
     """Guards against half a second lost with each lost answer, and against a slow platform."""
-    timeouts = [failover.call_timeout(attempt) for attempt in range(5)]
+    timeouts = [failover.call_timeout(attempt) for attempt in range(6)]
     assert timeouts[0] <= 0.2
     assert timeouts == sorted(timeouts)
     assert timeouts[-1] == failover.CALL_TIMEOUT_MAX_S
