Add a stand-in for the platform, and tests of the session proxy on it

The stand-in speaks the session protocol, the store's rows and promotions on loopback; proxies run as processes.

--- /dev/null
+++ b/siskindale/proxy/commands.py
@@ -0,0 +1,53 @@
+"""Options and commands of the session proxy."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import typer
+from returns.result import Failure
+
+from siskindale.context import Environment
+from siskindale.exits import ExitStatus
+from siskindale.platform.settings import load_settings
+from siskindale.proxy import core
+from siskindale.runtime.commands import SettingsOption, VersionOption, invoke, print_errors
+
+EXAMPLES = """
+Serve client sessions on this VM.
+
+\b
+  siskindale-proxy --settings boot.toml
+  siskindale-proxy check-settings boot.toml
+
+Without options, the settings file is the one that SISKINDALE_SETTINGS names.
+"""
+
+app = typer.Typer(help=EXAMPLES, add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.callback(invoke_without_command=True)
+def run(
+    context: typer.Context, settings: SettingsOption = None, version: VersionOption = False
+) -> ExitStatus | None:
+    """Serve client sessions on this VM."""
+    if context.invoked_subcommand is not None:
+        return None
+    if settings is None:
+        raise typer.BadParameter("--settings FILE is missing")
+    return core.serve(settings, context.obj)
+
+
+@app.command("check-settings")
+def check_settings(context: typer.Context, file: Path) -> ExitStatus:
+    """Check a settings file and print every finding."""
+    loaded = load_settings(file)
+    if isinstance(loaded, Failure):
+        print_errors(context.obj, loaded.failure())
+        return ExitStatus.INVALID_INPUT
+    typer.echo(f"{file}: no findings")
+    return ExitStatus.SUCCESS
+
+
+def main(args: Sequence[str], env: Environment) -> ExitStatus:
+    """Runs the command line."""
+    return invoke(app, args, env)
--- a/siskindale/proxy/core.py
+++ b/siskindale/proxy/core.py
@@ -9,19 +9,27 @@
 
 from siskindale.context import Environment
 from siskindale.exits import ExitStatus
-
-USAGE = "usage: siskindale-proxy [--settings FILE] [--check] [--version]"
+from siskindale.platform.settings import SETTINGS_VARIABLE, load_settings
 
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Runs the session proxy, or checks its settings."""
-    # Until handlers are set, these signals would end the process.
+    # Until the program handles them, these signals would end the process.
     for number in (signal.SIGTERM, signal.SIGHUP):
         signal.signal(number, signal.SIG_IGN)
-    from siskindale.platform.settings import SETTINGS_VARIABLE, load_settings
+    if args:
+        # Parsing of a command line is imported when needed: it would double the time to start.
+        from siskindale.proxy import commands
+
+        return commands.main(args, env)
+    return serve(Path(os.environ.get(SETTINGS_VARIABLE, "")), env)
+
+
+def serve(path: Path, env: Environment) -> ExitStatus:
+    """Runs the session proxy with a settings file until it has drained."""
     from siskindale.proxy import program
 
-    loaded = load_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    loaded = load_settings(path)
     if isinstance(loaded, Failure):
         for finding in loaded.failure():
             print(f"{env.program}: error: {finding}", file=env.stderr)
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -58,7 +58,7 @@
         gevent.signal_handler(signal.SIGHUP, self._reload)
         address = self._settings.readiness
         readiness_server(address, self._is_ready).start()
-        metrics_server(Address(address.host, self._settings.metrics_port)).start()
+        self._serve_metrics(Address(address.host, self._settings.metrics_port))
         self._mailbox.start()
         for run in (
             self._catalog.run,
@@ -74,6 +74,13 @@
         self._stop()
         return ExitStatus.SUCCESS
 
+    def _serve_metrics(self, address: Address) -> None:
+        """Serves metrics; without them the proxy still serves its clients."""
+        try:
+            metrics_server(address).start()
+        except OSError as error:
+            logger().error("metrics-unavailable", address=str(address), reason=str(error))
+
     def _stop(self) -> None:
         logger().info("stopping", sessions=len(self._server.sessions))
         self._peers.draining = True
--- /dev/null
+++ b/standins/deployment/store.py
@@ -0,0 +1,165 @@
+"""Store and promotions of the platform over HTTP/1.1."""
+
+import base64
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+from urllib.parse import parse_qs
+
+import attrs
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from siskindale.models.settings import Address
+from siskindale.store.interface import Condition, Row, Write
+from standins.platform.services import Tables
+
+STATUS = {
+    200: "200 OK",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    410: "410 Gone",
+    412: "412 Precondition Failed",
+    503: "503 Service Unavailable",
+}
+
+
+@attrs.frozen
+class PromoteCall:
+    """One call that orders a promotion."""
+
+    group: str
+    target: str
+    holder: str
+    fencing_token: int
+
+
+@attrs.define
+class StoreFaults:
+    """Faults of the platform.
+
+    `down` refuses calls of the store. `lose_promotions` is the number of calls that are carried out
+    `late_s` later and get no answer. `history_lost` refuses the next watches.
+    """
+
+    down: bool = False
+    lose_promotions: int = 0
+    late_s: float = 0.0
+    history_lost: bool = False
+
+
+class PlatformStandin:
+    """Store and promotions at one address."""
+
+    def __init__(self, address: Address, promote: Callable[[str, str], bool]) -> None:
+        self._tables = Tables()
+        self._changed = Event()
+        self._promote = promote
+        self._tokens: dict[str, int] = {}
+        self.faults = StoreFaults()
+        self.promotions: list[PromoteCall] = []
+        self.server = WSGIServer(
+            (address.host, address.port), self._serve, log=None, error_log=None
+        )
+
+    def put(self, table: str, key: str, value: dict[str, Any] | None) -> int:
+        """Writes a row as the operator or a target does; None removes it."""
+        version = self._tables.commit([], [Write(table, key, value)])
+        self._announce()
+        assert isinstance(version, int)
+        return version
+
+    def row(self, table: str, key: str) -> Row | None:
+        """Returns a row."""
+        return self._tables.read(table, key)
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed.clear()
+
+    def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        query = {name: v[0] for name, v in parse_qs(environ["QUERY_STRING"]).items()}
+        body = environ["wsgi.input"].read()
+        status, answer = self._answer(environ, query, body)
+        data = json.dumps(answer).encode()
+        start_response(STATUS[status], [("Content-Length", str(len(data)))])
+        return [data]
+
+    def _answer(
+        self, environ: dict[str, Any], query: dict[str, str], body: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        path = environ["PATH_INFO"]
+        if path == "/promote":
+            return self._order(environ, json.loads(body))
+        if self.faults.down:
+            return 503, {}
+        if path == "/v1/rows-get":
+            return 200, self._get(query)
+        if path == "/v1/rows-feed":
+            return self._feed(query)
+        if path == "/v1/rows-tx":
+            return self._commit(json.loads(body))
+        return 404, {}
+
+    def _get(self, query: dict[str, str]) -> dict[str, Any]:
+        rows = [
+            row
+            for row in self._tables.scan(query["table"], 0)
+            if not row.deleted and query.get("from", "") <= row.key
+            if "target" not in query or row.key < query["target"]
+        ]
+        return self._rows(sorted(rows, key=lambda row: row.key))
+
+    def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        if self.faults.history_lost:
+            return 410, {}
+        after = int(query["after"])
+        with gevent.Timeout(int(query["wait_ms"]) / 1000, False):
+            while not self._tables.scan(query["table"], after):
+                self._changed.wait()
+        return 200, self._rows(self._tables.scan(query["table"], after))
+
+    def _rows(self, rows: list[Row]) -> dict[str, Any]:
+        encoded = [
+            {
+                "key": row.key,
+                "value": base64.b64encode(json.dumps(row.value).encode()).decode(),
+                "ver": row.version,
+                "deleted": row.deleted,
+            }
+            for row in rows
+        ]
+        return {"rows": encoded, "has_more": False, "ver": self._tables.version, "now_ms": 0}
+
+    def _commit(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        conditions = [Condition(c["table"], c["key"], c["ver"]) for c in body["expected"]]
+        writes = [
+            Write(w["table"], w["key"], json.loads(base64.b64decode(w["value"])))
+            for w in body["put_rows"]
+        ]
+        outcome = self._tables.commit(conditions, writes)
+        self._announce()
+        if isinstance(outcome, int):
+            return 200, {"ver": outcome, "now_ms": 0}
+        return 412, {"rows": [], "ver": self._tables.version, "now_ms": 0}
+
+    def _order(self, environ: dict[str, Any], body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        call = PromoteCall(
+            body["service"],
+            body["id"],
+            environ["HTTP_X_DUTY_HOLDER"],
+            int(environ["HTTP_X_FENCE_TOKEN"]),
+        )
+        self.promotions.append(call)
+        if self.faults.lose_promotions:
+            self.faults.lose_promotions -= 1
+            gevent.spawn_later(self.faults.late_s, self._carry_out, call)
+            gevent.sleep(self.faults.late_s)
+        return (200 if self._carry_out(call) else 409), {}
+
+    def _carry_out(self, call: PromoteCall) -> bool:
+        if call.fencing_token < self._tokens.get(call.group, 0):
+            return False
+        self._tokens[call.group] = call.fencing_token
+        return self._promote(call.group, call.target)
--- a/standins/platform/services.py
+++ b/standins/platform/services.py
@@ -15,6 +15,11 @@
         self._rows: dict[tuple[str, str], Row] = {}
         self._version = 0
 
+    @property
+    def version(self) -> int:
+        """Version of the newest commit."""
+        return self._version
+
     def read(self, table: str, key: str) -> Row | None:
         """Returns the present row, None where it is absent."""
         row = self._rows.get((table, key))
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- a/tests/proxy/conftest.py
+++ b/tests/proxy/conftest.py
@@ -1,11 +1,13 @@
 """Shared fixtures of the session proxy: a group of three targets, without connections."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from pathlib import Path
 from typing import Any
 
 import attrs
 import pytest
 
+from bench.processes import Processes
 from siskindale.models.catalog import (
     Consistency,
     GroupLimits,
@@ -16,6 +18,7 @@
 from siskindale.models.group import Role
 from siskindale.models.settings import Address
 from siskindale.proxy.tables import Group, Target
+from tests.proxy.deployment import Deployment
 
 
 @pytest.fixture
@@ -67,3 +70,13 @@
         return attrs.evolve(given, **fields)
 
     return build
+
+
+@pytest.fixture
+def deployment(processes: Processes, tmp_path: Path) -> Iterator[Deployment]:
+    """The stand-in of the platform with one group of three targets."""
+    deployment = Deployment(processes, tmp_path)
+    yield deployment
+    deployment.platform.server.stop()
+    for instance in deployment.group.instances.values():
+        instance.crash()
--- /dev/null
+++ b/tests/proxy/test_deployment.py
@@ -0,0 +1,134 @@
+"""Failures of targets, store and proxies, seen by clients of proxies that run as processes."""
+
+import signal
+from pathlib import Path
+
+import gevent
+
+from bench.processes import Processes
+from siskindale.exits import ExitStatus
+from tests.proxy.deployment import PATIENCE_S, Deployment, eventually
+
+
+def test_a_crashed_primary_is_replaced(deployment: Deployment) -> None:
+    """Guards against writes that stay impossible after a crash."""
+    first = deployment.start_proxy("vm1")
+    client = first.client()
+    assert client.query("WRITE item 1").error is None
+    eventually(lambda: len(deployment.group.instances["t1"].log) == 1, "replicas have the commit")
+    deployment.group.primary.crash()
+    deployment.register_all()
+    eventually(lambda: client.query("WRITE item 2").error is None, "a write is accepted")
+    assert client.query("READ item").rows == (b"2",)
+    assert deployment.group.term == 2
+
+
+def test_no_read_is_answered_by_a_demoted_primary(deployment: Deployment) -> None:
+    """Guards against a read that lacks a commit which the next primary has acknowledged."""
+    client = deployment.start_proxy().client()
+    assert client.query("WRITE item 1").error is None
+    eventually(lambda: len(deployment.group.instances["t1"].log) == 1, "t1 has the commit")
+    deployment.group.promote("t1")
+    deployment.group.commit(deployment.group.primary, [(b"item", b"2")])
+    assert client.query("READ item").rows == (b"2",)
+
+
+def test_an_unanswered_promotion_is_settled_before_another(deployment: Deployment) -> None:
+    """Guards against a late call that replaces the primary that was promoted after it."""
+    client = deployment.start_proxy().client()
+    assert client.query("WRITE item 1").error is None
+    deployment.platform.faults.lose_promotions = 1
+    deployment.platform.faults.late_s = 1.0
+    deployment.group.primary.crash()
+    eventually(lambda: client.query("WRITE item 2").error is None, "a write is accepted")
+    gevent.sleep(1.2)
+    calls = deployment.platform.promotions
+    assert len(calls) >= 2
+    targets = {(call.target, call.fencing_token) for call in calls}
+    assert len({token for _, token in targets}) == len(targets)
+    assert client.query("READ item").rows == (b"2",)
+
+
+def test_a_leaving_primary_is_replaced_while_it_serves(deployment: Deployment) -> None:
+    """Guards against a planned shutdown that stops writes."""
+    client = deployment.start_proxy().client()
+    leaving = deployment.group.primary
+    deployment.register(leaving, state="draining")
+    eventually(lambda: deployment.group.primary is not leaving, "another target leads")
+    assert client.query("WRITE item 1").error is None
+
+
+def test_a_proxy_without_a_store_starts_and_waits(deployment: Deployment) -> None:
+    """Guards against a proxy that gives up, or counts as ready without a configuration."""
+    deployment.platform.faults.down = True
+    proxy = deployment.start_proxy(ready=False)
+    eventually(lambda: "store-unavailable" in proxy.log, "the lost store is logged")
+    assert not proxy.ready
+    deployment.platform.faults.down = False
+    eventually(lambda: proxy.ready, "the proxy is ready")
+    assert proxy.client().query("READ item").error is None
+
+
+def test_sessions_go_on_while_the_store_is_down(deployment: Deployment) -> None:
+    """Guards against statements that depend on the store."""
+    client = deployment.start_proxy().client()
+    deployment.platform.faults.down = True
+    for number in range(20):
+        assert client.query(f"WRITE item {number}").error is None
+
+
+def test_a_forgotten_history_is_read_anew(deployment: Deployment) -> None:
+    """Guards against a follower that misses a configuration after the history was dropped."""
+    proxy = deployment.start_proxy()
+    deployment.platform.faults.history_lost = True
+    deployment.configure(2, added={"kind": "primary"})
+    eventually(lambda: proxy.client("added").greeting == b"READY I -\r\n", "new route is known")
+
+
+def test_sigterm_ends_idle_sessions_and_lets_transactions_end(deployment: Deployment) -> None:
+    """Guards against a shutdown that cuts what is in progress."""
+    proxy = deployment.start_proxy()
+    idle, busy = proxy.client(), proxy.client()
+    busy.query("BEGIN")
+    busy.query("WRITE item 1")
+    proxy.process.signal(signal.SIGTERM)
+    eventually(lambda: not proxy.ready, "the proxy is not ready")
+    assert idle.read_line() == b""
+    assert busy.query("COMMIT").error is None
+    assert busy.read_line() == b""
+    eventually(lambda: not proxy.process.running, "the proxy has ended")
+    assert proxy.process.popen.returncode == 0
+
+
+def test_registrations_of_other_writers_are_ignored(deployment: Deployment) -> None:
+    """Guards against an entry that names no target but is used, or hides the others."""
+    proxy = deployment.start_proxy()
+    deployment.platform.put("servers", "t9", {"service": "g1", "state": "ready"})
+    deployment.platform.put("servers", "t8", {"service": 5, "address": None})
+    deployment.configure(2, added={"kind": "primary"})
+    eventually(lambda: "registration-ignored" in proxy.log, "the entry is logged")
+    assert proxy.client().query("READ item").error is None
+
+
+def test_two_proxies_share_what_they_know(deployment: Deployment) -> None:
+    """Guards against a proxy that is lost without the store although a peer could tell it all."""
+    first = deployment.start_proxy("vm1")
+    deployment.platform.faults.down = True
+    path, clients, readiness = deployment.settings_file("vm2")
+    seeds = (path.parent / "vm1.toml").read_text().split("control = ")[1].splitlines()[0]
+    path.write_text(path.read_text().replace("seeds = [", f"seeds = [{seeds}, "))
+    second = deployment.start_with("vm2", path, clients, readiness)
+    eventually(lambda: second.ready, "the second proxy knows the configuration")
+    assert second.client().query("READ item").error is None
+    assert first.ready
+
+
+def test_a_wrong_settings_file_gives_every_finding(tmp_path: Path, processes: Processes) -> None:
+    """Guards against settings that are mended one fault a start."""
+    path = tmp_path / "boot.toml"
+    path.write_text('node = 7\nseeds = ["x"]\n[listen]\nfront = "127.0.0.1"\n')
+    process = processes.start("check", "siskindale.proxy", ["check-settings", str(path)])
+    assert process.popen.wait(PATIENCE_S) == ExitStatus.INVALID_INPUT
+    log = process.log.read_text()
+    for place in ("$.node", "$.zone", "$.seeds[0]", "$.listen.front", "$.platform.address"):
+        assert place in log
--- /dev/null
+++ b/tests/proxy/test_sessions.py
@@ -0,0 +1,182 @@
+"""Client sessions through a proxy that runs as a process, on the stand-in of the platform."""
+
+import pytest
+
+from tests.proxy.deployment import Deployment, eventually
+
+
+def test_reads_and_writes_carry_the_receipts_of_the_target(deployment: Deployment) -> None:
+    """Guards against a success that no target gave."""
+    client = deployment.start_proxy().client()
+    assert client.greeting == b"READY I -\r\n"
+    written = client.query("WRITE item data with blanks")
+    assert written.error is None
+    assert written.receipt is not None
+    assert written.receipt.startswith(b"t0.")
+    assert written.state == b"I"
+    read = client.query("READ item")
+    assert read.rows == (b"data with blanks",)
+    assert [e.text for e in deployment.group.executions] == [
+        b"WRITE item data with blanks",
+        b"READ item",
+    ]
+
+
+def test_a_session_sees_its_own_commits_on_lagging_replicas(deployment: Deployment) -> None:
+    """Guards against a read at a replica that lacks the session's last commit."""
+    deployment.group.lag_s = 0.4
+    client = deployment.start_proxy().client("own")
+    for number in range(10):
+        assert client.query(f"WRITE item {number}").error is None
+        assert client.query("READ item").rows == (b"%d" % number,)
+
+
+def test_bounded_reads_are_served_by_replicas(deployment: Deployment) -> None:
+    """Guards against reads that all go to the primary."""
+    client = deployment.start_proxy().client("bounded")
+
+    def replica_served() -> bool:
+        assert client.query("READ item").error is None
+        return deployment.group.executions[-1].target != "t0"
+
+    # The proxy prefers targets of its own failure domain, so the primary is elsewhere here.
+    deployment.group.promote("t1")
+    eventually(replica_served, "a replica serves a read")
+
+
+def test_a_transaction_stays_on_one_connection(deployment: Deployment) -> None:
+    """Guards against statements of a transaction that run outside of it."""
+    proxy = deployment.start_proxy()
+    client, other = proxy.client(), proxy.client()
+    assert client.query("BEGIN").state == b"T"
+    assert client.query("WRITE item 1").state == b"T"
+    assert other.query("READ item").rows == ()
+    assert client.query("READ item").rows == (b"1",)
+    committed = client.query("COMMIT")
+    assert (committed.error, committed.state) == (None, b"I")
+    assert other.query("READ item").rows == (b"1",)
+
+
+def test_a_client_that_leaves_commits_nothing(deployment: Deployment) -> None:
+    """Guards against a commit that no client asked for."""
+    proxy = deployment.start_proxy()
+    client = proxy.client()
+    client.query("BEGIN")
+    client.query("WRITE item 1")
+    client.close()
+    other = proxy.client()
+    for _ in range(20):
+        assert other.query("READ item").rows == ()
+
+
+def test_names_and_values_of_sessions_do_not_mix(deployment: Deployment) -> None:
+    """Guards against a prepared name or a value of another client on a shared connection."""
+    proxy = deployment.start_proxy()
+    clients = [proxy.client() for _ in range(4)]
+    for index, client in enumerate(clients):
+        assert client.query(f"PREPARE s1 WRITE shape{index}").error is None
+        if index % 2:
+            assert client.query(f"SET zone {index}").error is None
+    for turn in range(5):
+        for index, client in enumerate(clients):
+            assert client.query(f"EXEC s1 item{index} {turn}").error is None
+            last = deployment.group.executions[-1]
+            assert last.shape == b"shape%d" % index
+            assert last.values == (frozenset({(b"zone", b"%d" % index)}) if index % 2 else set())
+
+
+def test_a_value_set_in_a_transaction_reaches_its_connection(deployment: Deployment) -> None:
+    """Guards against statements that run with old values on the transaction's connection."""
+    client = deployment.start_proxy().client()
+    client.query("BEGIN")
+    client.query("READ item")
+    client.query("SET zone 7")
+    client.query("READ item")
+    assert deployment.group.executions[-1].values == {(b"zone", b"7")}
+
+
+@pytest.mark.parametrize(
+    ("statement", "expected"),
+    [("WRITE item 1", b"UNKNOWN"), ("READ item", None)],
+)
+def test_a_lost_reply_outside_a_transaction(
+    deployment: Deployment, statement: str, expected: bytes | None
+) -> None:
+    """Guards against a write that is repeated, and a read that is not."""
+    client = deployment.start_proxy().client()
+    assert client.query("READ item").error is None
+    deployment.group.primary.faults.lose_replies = 1
+    assert client.query(statement).error == expected
+    runs = [e for e in deployment.group.executions if e.text == statement.encode()]
+    assert len(runs) == (1 if expected else 3)
+
+
+def test_a_lost_reply_in_a_transaction_aborts_it(deployment: Deployment) -> None:
+    """Guards against a client that cannot repeat a transaction of which nothing is kept."""
+    client = deployment.start_proxy().client()
+    client.query("BEGIN")
+    client.query("READ item")
+    deployment.group.primary.faults.lose_replies = 1
+    failed = client.query("WRITE item 1")
+    assert (failed.error, failed.state) == (b"ABORTED", b"E")
+    assert client.query("READ item").error == b"MALFORMED"
+    assert client.query("ROLLBACK").state == b"I"
+    assert client.query("READ item").rows == ()
+
+
+def test_a_lost_reply_to_a_commit_promises_nothing(deployment: Deployment) -> None:
+    """Guards against a promise that nothing is kept while the commit took effect."""
+    client = deployment.start_proxy().client()
+    client.query("BEGIN")
+    client.query("WRITE item 1")
+    deployment.group.primary.faults.lose_replies = 1
+    assert client.query("COMMIT").error == b"UNKNOWN"
+    assert client.query("READ item").rows == (b"1",)
+
+
+def test_an_unknown_database_is_refused(deployment: Deployment) -> None:
+    """Guards against a session without a route."""
+    client = deployment.start_proxy().client("nowhere")
+    assert client.greeting.startswith(b"ERR NODB")
+    assert client.read_line() == b""
+
+
+def test_a_change_of_routes_applies_from_the_next_transaction(deployment: Deployment) -> None:
+    """Guards against routes that stay in use after the operator dropped them."""
+    proxy = deployment.start_proxy()
+    client = proxy.client("own")
+    client.query("BEGIN")
+    assert client.query("READ item").error is None
+    deployment.configure(2, own=None, added={"kind": "primary"})
+    eventually(lambda: proxy.client("added").greeting == b"READY I -\r\n", "new route is known")
+    assert client.query("READ item").error is None
+    assert client.query("COMMIT").error is None
+    assert client.query("READ item").error == b"NODB"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"HELLO\r\n", b"QUERY\r\n", b"QUERY - READ item\r\n", b"\xff\x00\r\n", b"x" * (3 << 20)],
+)
+def test_hostile_bytes_end_only_their_session(deployment: Deployment, data: bytes) -> None:
+    """Guards against a client that stops the proxy or smuggles a statement."""
+    proxy = deployment.start_proxy()
+    hostile, client = proxy.client(), proxy.client()
+    try:
+        hostile.send(data)
+        assert hostile.read_line().startswith(b"ERR MALFORMED")
+    except OSError:
+        # The proxy closes a session with unread bytes, which resets it.
+        pass
+    assert client.query("READ item").error is None
+    assert all(e.request_id != b"-" for e in deployment.group.executions)
+
+
+def test_statements_split_over_segments_are_whole(deployment: Deployment) -> None:
+    """Guards against a codec that takes a segment for a message."""
+    client = deployment.start_proxy().client()
+    for byte in b"QUERY x1 WRITE item 1":
+        client.send(bytes([byte]))
+    client.send(b"\r\nQUERY x2 READ item\r\n")
+    assert client.answer().error is None
+    assert client.answer().rows == (b"1",)
