Log one line for each forwarded statement, bounded and without blocking

Cause: a complaint names a request id, and only failures were logged; a reader that does not read standard output would have blocked the loop.

--- a/siskindale/models/group.py
+++ b/siskindale/models/group.py
@@ -12,6 +12,9 @@
     term: int = 0
     position: int = 0
 
+    def __str__(self) -> str:
+        return f"{self.term}.{self.position}"
+
 
 class Role(enum.StrEnum):
     """Role of a target within its group."""
--- a/siskindale/models/statements.py
+++ b/siskindale/models/statements.py
@@ -86,7 +86,8 @@
     """Complete reply of a target or of the proxy to one statement.
 
     `rows` and `receipt` are passed on unchanged. `position` is the end of the target's log when it
-    replied, absent in the proxy's own replies.
+    replied, absent in the proxy's own replies. `target` and `attempts` tell where and how often the
+    statement ran, for logs.
     """
 
     rows: list[bytes] = attrs.field(factory=list)
@@ -95,6 +96,8 @@
     detail: bytes = b""
     state: SessionState = SessionState.IDLE
     position: LogPosition | None = None
+    target: str = ""
+    attempts: int = 0
 
     @property
     def succeeded(self) -> bool:
--- a/siskindale/proxy/executor.py
+++ b/siskindale/proxy/executor.py
@@ -95,6 +95,8 @@
             operation.attempts += 1
             outcome = self._attempt(operation, values, connection, need)
             if isinstance(outcome, Reply):
+                outcome.target = connection.target.id
+                outcome.attempts = operation.attempts
                 return outcome
             last_error = self._prepare_retry(operation, connection, outcome) or last_error
 
@@ -266,6 +268,15 @@
         self, operation: Operation, connection: TargetConnection, decision: outcomes.Decision
     ) -> ErrorCode | None:
         error = decision.error
+        logger().info(
+            "statement-retried",
+            request=operation.statement.request_id.decode(errors="replace"),
+            target=connection.target.id,
+            attempt=operation.attempts,
+            reason=error.value if error else "connection",
+            step=decision.step.value,
+            primary=operation.group.leadership.target,
+        )
         metrics.RETRIES.labels(error.value if error else "connection").inc()
         if decision.step is Step.RETRY_DEMOTED:
             self.note_demoted(operation.group, connection)
@@ -414,6 +425,7 @@
         except _BROKEN as error:
             return self._broken_transaction(transaction, statement, work, error, started)
         reply = replies[-1]
+        reply.target = connection.target.id
         if reply.error is None:
             now = self._pool.now()
             placement.note_latency(connection.target, now - started, now)
--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -252,8 +252,8 @@
             group=group.name,
             reason=reason.value,
             old=group.leadership.target,
-            successors=[target.id for target in successors],
-            positions={name: str(position) for name, position in received.items()},
+            successors=",".join(target.id for target in successors),
+            positions=",".join(f"{name}:{position}" for name, position in received.items()),
             fencing_token=self._duty.token,
         )
         if not successors:
--- a/siskindale/proxy/metrics.py
+++ b/siskindale/proxy/metrics.py
@@ -22,4 +22,3 @@
 )
 PROMOTIONS = Counter("siskindale_promotions", "Calls that order a promotion", ("outcome",))
 STORE_CALLS = Counter("siskindale_store_calls", "Calls to the store", ("call", "outcome"))
-LOG_LINES_DROPPED = Counter("siskindale_log_lines_dropped", "Log lines left out", ("reason",))
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+from typing import TextIO, cast
 
 import gevent
 from gevent.event import Event
@@ -22,6 +23,7 @@
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group
 from siskindale.runtime import logs
+from siskindale.runtime.log_stream import BoundedStream
 from siskindale.runtime.logs import logger
 from siskindale.transport.mailbox import Mailbox
 
@@ -103,5 +105,6 @@
 
 def run(settings: ProxySettings, env: Environment) -> ExitStatus:
     """Runs the session proxy until it is stopped."""
-    logs.configure(settings.log_level, env.stdout, vm=settings.vm)
+    stream = BoundedStream(env.stdout.fileno(), env.clock.monotonic)
+    logs.configure(settings.log_level, cast(TextIO, stream), vm=settings.vm)
     return ProxyProgram(settings).run()
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -19,6 +19,8 @@
 from siskindale.runtime.logs import logger
 
 DEFAULT_TRANSACTION_IDLE_S = 3.0
+# Kept, because looking a logger up for each statement costs as much as rendering its line.
+_STATEMENT_LOG = logger()
 
 
 class ProxyState:
@@ -170,7 +172,10 @@
     def note_statement(
         self, statement: Statement, database: str, reply: Reply, arrived: float
     ) -> None:
-        """Counts and logs a statement that was answered."""
+        """Counts and logs a statement that was answered.
+
+        What the proxy answers by itself, such as a session value, is only counted.
+        """
         route = self.route(database)
         kind = route.consistency.value if route else "none"
         outcome = reply.error.value if reply.error else "done"
@@ -178,13 +183,27 @@
         metrics.STATEMENTS.labels(kind, outcome).inc()
         metrics.STATEMENT_SECONDS.labels(kind).observe(duration)
         if reply.error is not None:
-            logger().info(
+            _STATEMENT_LOG.info(
                 "statement-failed",
                 request=statement.request_id.decode(errors="replace"),
                 route=route.name if route else "",
                 verb=statement.verb.value,
                 outcome=outcome,
                 detail=reply.detail.decode(errors="replace"),
+                target=reply.target,
+                attempts=reply.attempts,
+                took_ms=round(duration * 1000, 1),
+                catalog_version=self.catalog_version,
+            )
+        elif reply.target:
+            _STATEMENT_LOG.info(
+                "statement",
+                request=statement.request_id.decode(errors="replace"),
+                route=route.name if route else "",
+                verb=statement.verb.value,
+                target=reply.target,
+                attempts=reply.attempts,
+                position=str(reply.position),
                 took_ms=round(duration * 1000, 1),
                 catalog_version=self.catalog_version,
             )
--- /dev/null
+++ b/tests/test_log_stream.py
@@ -0,0 +1,46 @@
+"""Log output under load and without a reader."""
+
+import os
+from collections.abc import Iterator
+
+import pytest
+
+from siskindale.runtime.log_stream import BURST_LINES, LINES_PER_S, BoundedStream
+from tests.fakes.clock import FakeClock
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    yield reading, writing
+    for descriptor in (reading, writing):
+        os.close(descriptor)
+
+
+def test_a_storm_of_lines_is_bounded_and_counted(pipe: tuple[int, int]) -> None:
+    """Guards against logs that take the time of requests when everything fails."""
+    clock = FakeClock()
+    stream = BoundedStream(pipe[1], clock.monotonic)
+    for _ in range(int(BURST_LINES) + 50):
+        stream.write("x\n")
+    clock.now += 1.0
+    stream.write("later\n")
+    lines = os.read(pipe[0], 1 << 16).decode().splitlines()
+    assert lines.count("x") == BURST_LINES
+    assert lines[-2:] == ["level=warning event=log-lines-dropped count=50", "later"]
+    assert LINES_PER_S > 100
+
+
+def test_an_unread_pipe_does_not_block(pipe: tuple[int, int]) -> None:
+    """Guards against a loop that stands still because nobody reads its logs."""
+    clock = FakeClock()
+    stream = BoundedStream(pipe[1], clock.monotonic)
+    for _ in range(2000):
+        clock.now += 1.0
+        stream.write("x" * 1000 + "\n")
+    os.read(pipe[0], 1 << 20)
+    clock.now += 1.0
+    stream.flush()
+    stream.write("later\n")
+    assert os.read(pipe[0], 1 << 20)
