--- a/bench/callers.py
+++ b/bench/callers.py
@@ -13,7 +13,7 @@
 from bench import schema
 from bench.experiment import Workload
 from bench.history import CUT, DONE, NOT_SENT, UNKNOWN, Event
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.transport.http import HttpClient, HttpResponse
 from siskindale.transport.metrics import Purpose
 
--- a/bench/capacity/sinks.py
+++ b/bench/capacity/sinks.py
@@ -8,7 +8,7 @@
 import gevent
 import pynng
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 
 HOST = "127.0.0.2"
 
--- a/bench/ordering.py
+++ b/bench/ordering.py
@@ -21,7 +21,7 @@
 from bench.cluster import TOKEN, Cluster
 from bench.experiment import DeploymentPlan
 from bench.processes import Processes
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.transport.http import HttpClient
 from siskindale.transport.metrics import Purpose
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -14,7 +14,7 @@
 import attrs
 import gevent
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_S = 15.0
--- a/bench/speed.py
+++ b/bench/speed.py
@@ -16,7 +16,7 @@
 from bench.cluster import CLASS_OF_KIND, TOKEN, Cluster
 from bench.experiment import DeploymentPlan
 from bench.processes import Processes
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.targets.http import HttpTargets
 from siskindale.targets.interface import Begin, Commit, Statement
 from siskindale.transport.http import HttpClient
--- a/siskindale/cli/drafts.py
+++ b/siskindale/cli/drafts.py
@@ -12,6 +12,7 @@
 from siskindale.config.findings import Finding
 from siskindale.config.loader import read
 from siskindale.config.structuring import structure
+from siskindale.models.address import Address
 from siskindale.models.bundle import (
     Bundle,
     Caller,
@@ -20,7 +21,6 @@
     StatementClass,
     Target,
 )
-from siskindale.models.settings import Address
 from siskindale.output.listing import Listing
 
 
--- a/siskindale/models/bundle.py
+++ b/siskindale/models/bundle.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 
 
 class TargetState(enum.StrEnum):
--- a/siskindale/models/catalog.py
+++ b/siskindale/models/catalog.py
@@ -5,8 +5,8 @@
 
 import attrs
 
+from siskindale.models.address import Address
 from siskindale.models.group import Role
-from siskindale.models.settings import Address
 
 
 class Consistency(enum.Enum):
--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -5,7 +5,7 @@
 import attrs
 
 from siskindale.models.group import LogPosition
-from siskindale.models.wire import message
+from siskindale.models.messages import message
 
 
 @attrs.frozen
--- /dev/null
+++ b/siskindale/models/messages.py
@@ -0,0 +1,42 @@
+"""Frame of the messages between programs, and the registry of their classes."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+
+MESSAGES: dict[str, type] = {}
+
+
+def message(kind: str) -> Callable[[type], type]:
+    """Registers a message class under `kind`."""
+
+    def register(cls: type) -> type:
+        MESSAGES[kind] = cls
+        cls.kind = kind  # type: ignore[attr-defined]
+        return cls
+
+    return register
+
+
+@attrs.frozen
+class Envelope:
+    """Outer part of each message.
+
+    `sender` is the program's name, `sender_boot` a random id of this start of it, `reply_to` the
+    URL of its inbox, `sent_at` its monotonic clock in seconds. An answer repeats `correlation_id`
+    and names in `addressed_boot` the boot that it answers.
+    """
+
+    kind: str
+    sender: str
+    sender_boot: str
+    reply_to: str
+    correlation_id: int
+    sent_at: float
+    body: msgspec.Raw
+    addressed_boot: str = ""
+
+
+Body = Any
--- a/siskindale/models/vm.py
+++ b/siskindale/models/vm.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 
 
 @attrs.frozen
--- a/siskindale/models/wire.py
+++ b/siskindale/models/wire.py
@@ -4,50 +4,15 @@
 `Envelope.kind` selects the class, because msgspec tags unions of its own structs only.
 """
 
-from collections.abc import Callable
-from typing import Any
-
 import attrs
-import msgspec
 
 from siskindale.models.group import LogPosition
 from siskindale.models.member import Member
+from siskindale.models.messages import message
 from siskindale.models.outcomes import Outcome, Refusal
 
 Scalar = None | bool | int | float | str
 
-MESSAGES: dict[str, type] = {}
-
-
-def message(kind: str) -> Callable[[type], type]:
-    """Registers a message class under `kind`."""
-
-    def register(cls: type) -> type:
-        MESSAGES[kind] = cls
-        cls.kind = kind  # type: ignore[attr-defined]
-        return cls
-
-    return register
-
-
-@attrs.frozen
-class Envelope:
-    """Outer part of each message.
-
-    `sender` is the program's name, `sender_boot` a random id of this start of it, `reply_to` the
-    URL of its inbox, `sent_at` its monotonic clock in seconds. An answer repeats `correlation_id`
-    and names in `addressed_boot` the boot that it answers.
-    """
-
-    kind: str
-    sender: str
-    sender_boot: str
-    reply_to: str
-    correlation_id: int
-    sent_at: float
-    body: msgspec.Raw
-    addressed_boot: str = ""
-
 
 @message("statement")
 @attrs.frozen
@@ -250,6 +215,3 @@
 @attrs.frozen
 class AliveReply:
     """Answer to `AliveRequest`; also sent by a pool to all entries when it becomes ready."""
-
-
-Body = Any
--- a/siskindale/platform/entries.py
+++ b/siskindale/platform/entries.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure, Result, Success
 
+from siskindale.models.address import Address
 from siskindale.models.catalog import (
     Catalog,
     Consistency,
@@ -14,7 +15,6 @@
     TargetState,
 )
 from siskindale.models.group import Role
-from siskindale.models.settings import Address
 
 CATALOG_TABLE = "op"
 CATALOG_KEY = "config"
--- a/siskindale/platform/promotion.py
+++ b/siskindale/platform/promotion.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.transport.http import HttpClient
 from siskindale.transport.metrics import Purpose
 
--- a/siskindale/platform/settings.py
+++ b/siskindale/platform/settings.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from siskindale.config.findings import Finding
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.models.vm import ProxySettings
 
 SETTINGS_VARIABLE = "SISKINDALE_SETTINGS"
--- a/siskindale/platform/store.py
+++ b/siskindale/platform/store.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.store.interface import (
     Changes,
     Condition,
--- a/siskindale/pool/workers.py
+++ b/siskindale/pool/workers.py
@@ -7,8 +7,8 @@
 from returns.result import Failure, Result
 
 from siskindale.context import Clock
+from siskindale.models.address import Address
 from siskindale.models.bundle import Target
-from siskindale.models.settings import Address
 from siskindale.pool.effects import (
     AskStatus,
     BatchEnded,
--- a/siskindale/proxy/__main__.py
+++ b/siskindale/proxy/__main__.py
@@ -1,9 +1,14 @@
 """Entry point of `siskindale-proxy`."""
 
-import sys
+import gc
 
-from siskindale.context import Environment
-from siskindale.proxy import core
+# Collections during the imports would find nothing and take a tenth of the time to start.
+gc.disable()
+
+import sys  # noqa: E402
+
+from siskindale.context import Environment  # noqa: E402
+from siskindale.proxy import core  # noqa: E402
 
 
 def main() -> None:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -1,5 +1,6 @@
 """The running session proxy: its parts, start and stop."""
 
+import gc
 import os
 import signal
 from typing import TextIO, cast
@@ -9,7 +10,7 @@
 
 from siskindale.context import Environment, SuspendAwareClock
 from siskindale.exits import ExitStatus
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.models.vm import ProxySettings
 from siskindale.platform.store import PlatformStore
 from siskindale.proxy.duty import FailoverDuty
@@ -71,6 +72,9 @@
         ):
             gevent.spawn(run)
         self._server.start()
+        # What the imports made lives as long as the process and need not be looked through again.
+        gc.freeze()
+        gc.enable()
         logger().info("started", vm=self._settings.vm, pid=os.getpid())
         self._stopping.wait()
         self._stop()
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -3,17 +3,17 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import prometheus_client
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.platform.readiness import READINESS_PATH
 from siskindale.proxy import metrics
 from siskindale.proxy.executor import Executor
 from siskindale.proxy.session import ClientSession
 from siskindale.proxy.state import ProxyState
+from siskindale.runtime import counters
 
 ACCEPT_BACKLOG = 1024
 
@@ -69,6 +69,15 @@
 
 
 def metrics_server(address: Address) -> WSGIServer:
-    """Returns the server of the metrics of this process."""
-    app = prometheus_client.make_wsgi_app()
+    """Returns the server of the metrics of this process.
+
+    The metrics library is imported with the first request, because it would delay the start.
+    """
+
+    def app(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        from prometheus_client import make_wsgi_app
+
+        counters.expose()
+        return make_wsgi_app()(environ, start_response)
+
     return WSGIServer((address.host, address.port), app, log=None, error_log=None)
--- a/siskindale/runtime/health.py
+++ b/siskindale/runtime/health.py
@@ -7,7 +7,8 @@
 import prometheus_client
 from gevent.pywsgi import WSGIServer
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
+from siskindale.runtime import counters
 
 Readiness = Callable[[], Sequence[str]]
 Report = Callable[[], Mapping[str, Any]]
@@ -55,6 +56,7 @@
 
     `reports` are JSON documents by path.
     """
+    counters.expose()
     app: falcon.App = falcon.App()
     app.add_route("/healthz", _Health())
     app.add_route("/readyz", _Ready(readiness))
--- a/siskindale/runtime/log_stream.py
+++ b/siskindale/runtime/log_stream.py
@@ -3,7 +3,7 @@
 import os
 from collections.abc import Callable
 
-from prometheus_client import Counter
+from siskindale.runtime.counters import Metric
 
 # Lines a second, and lines at once after a quiet time. A VM serves about a hundred statements a
 # second and logs one line for each; the bound keeps a storm of failures from taking more.
@@ -12,7 +12,7 @@
 # What a reader of standard output may leave unread before lines are dropped.
 MAX_PENDING_BYTES = 1 << 18
 
-DROPPED = Counter("siskindale_log_lines_dropped", "Log lines left out", ("reason",))
+DROPPED = Metric("siskindale_log_lines_dropped", "Log lines left out", ("reason",))
 
 
 class BoundedStream:
--- a/siskindale/store/interface.py
+++ b/siskindale/store/interface.py
@@ -4,16 +4,20 @@
 may have taken effect: only `UNKNOWN` may have. `HISTORY_LOST` concerns reading only.
 """
 
+from __future__ import annotations
+
 import enum
 from collections.abc import Sequence
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import attrs
 from returns.result import Result
 
-from siskindale.models.settings import PlatformSettings
 from siskindale.registry import Registry
 
+if TYPE_CHECKING:
+    from siskindale.models.settings import PlatformSettings
+
 
 class PlatformFailure(enum.StrEnum):
     """Kinds of failure of a platform request."""
--- a/siskindale/transport/codec.py
+++ b/siskindale/transport/codec.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from siskindale.models.wire import MESSAGES, Body, Envelope
+from siskindale.models.messages import MESSAGES, Body, Envelope
 
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPES = msgspec.msgpack.Decoder(Envelope)
--- a/siskindale/transport/http.py
+++ b/siskindale/transport/http.py
@@ -14,7 +14,7 @@
 from gevent import socket
 from returns.result import Failure, Result, Success
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.transport.metrics import Purpose, Traffic
 
 MAX_RESPONSE_BYTES = 64 << 20
--- a/siskindale/transport/mailbox.py
+++ b/siskindale/transport/mailbox.py
@@ -15,8 +15,8 @@
 from returns.result import Failure
 
 from siskindale.context import Clock
-from siskindale.models.settings import Address
-from siskindale.models.wire import Body, Envelope
+from siskindale.models.address import Address
+from siskindale.models.messages import Body, Envelope
 from siskindale.transport import codec
 from siskindale.transport.delays import Delays
 from siskindale.transport.metrics import Purpose, Traffic
--- a/siskindale/transport/metrics.py
+++ b/siskindale/transport/metrics.py
@@ -2,9 +2,9 @@
 
 import enum
 
-from prometheus_client import Counter
+from siskindale.runtime.counters import Metric
 
-BYTES = Counter("siskindale_traffic_bytes", "Bytes sent and received", ("purpose", "direction"))
+BYTES = Metric("siskindale_traffic_bytes", "Bytes sent and received", ("purpose", "direction"))
 
 
 class Purpose(enum.StrEnum):
--- a/standins/deployment/group.py
+++ b/standins/deployment/group.py
@@ -10,7 +10,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 
 Entry = tuple[int, int, bytes, bytes]
 
--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.store.interface import Condition, Row, Write
 from standins.platform.services import Tables
 
--- a/standins/platform/api.py
+++ b/standins/platform/api.py
@@ -6,7 +6,7 @@
 import attrs
 import msgspec
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.store.interface import Condition, LiveView, Write
 from standins.platform.services import Services
 from standins.server import Faults, MalformedError, Reply, Request, Server
--- a/standins/server.py
+++ b/standins/server.py
@@ -15,7 +15,7 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 
 _ENCODER = msgspec.json.Encoder()
 
--- a/standins/target/__main__.py
+++ b/standins/target/__main__.py
@@ -5,8 +5,8 @@
 
 import typer
 
+from siskindale.models.address import Address
 from siskindale.models.group import Role
-from siskindale.models.settings import Address
 from standins.server import parse_address, serve_until_signal
 from standins.target.api import ControlServer, DataServer, Limits
 from standins.target.replication import Replicator, TargetFaults
--- a/standins/target/api.py
+++ b/standins/target/api.py
@@ -7,8 +7,8 @@
 import gevent
 import msgspec
 
+from siskindale.models.address import Address
 from siskindale.models.group import Role
-from siskindale.models.settings import Address
 from siskindale.targets.http import ErrorBody
 from siskindale.targets.interface import Begin, Commit, Rollback, Statement, Step, TargetFailure
 from standins.server import Connection, MalformedError, Reply, Request, Server
--- a/standins/target/replication.py
+++ b/standins/target/replication.py
@@ -7,8 +7,8 @@
 import msgspec
 from returns.result import Failure
 
+from siskindale.models.address import Address
 from siskindale.models.group import LogPosition, Role
-from siskindale.models.settings import Address
 from siskindale.transport.http import HttpClient, identity_headers
 from siskindale.transport.metrics import Purpose
 from standins.server import Faults
--- a/standins/target/storage.py
+++ b/standins/target/storage.py
@@ -15,8 +15,8 @@
 import msgspec
 from gevent.event import Event
 
+from siskindale.models.address import Address
 from siskindale.models.group import LogPosition, Role, TargetStatus
-from siskindale.models.settings import Address
 
 _ENCODER = msgspec.json.Encoder()
 _SCHEMA = """
--- a/tests/bench/test_generator.py
+++ b/tests/bench/test_generator.py
@@ -16,7 +16,7 @@
 from bench.generator import Job, generate
 from bench.history import Event, FaultEvent, HistoryWriter, Record, read_history
 from bench.results import compare, read_results, summarise, write_results
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 
 ONLY_KEYED = Mix(browse=0, strict=0, large=0, write=0, keyed=1, transaction=0)
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -8,7 +8,7 @@
 
 from siskindale.bundles import audit
 from siskindale.cli import drafts
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from siskindale.runtime.health import health_server
 from siskindale.store.interface import Write
 from tests.cli.conftest import Operator
--- a/tests/fakes/group.py
+++ b/tests/fakes/group.py
@@ -9,9 +9,9 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from siskindale.models.address import Address
 from siskindale.models.bundle import Target
 from siskindale.models.group import LogPosition, Role, TargetStatus
-from siskindale.models.settings import Address
 from siskindale.targets.interface import TargetError, TargetFailure
 
 Reply = Result[TargetStatus, TargetError]
--- a/tests/fakes/mailbox.py
+++ b/tests/fakes/mailbox.py
@@ -5,7 +5,7 @@
 import attrs
 import msgspec
 
-from siskindale.models.wire import Body, Envelope
+from siskindale.models.messages import Body, Envelope
 from siskindale.transport.mailbox import Delivery, Handler
 
 
--- a/tests/proxy/conftest.py
+++ b/tests/proxy/conftest.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bench.processes import Processes
+from siskindale.models.address import Address
 from siskindale.models.catalog import (
     Consistency,
     GroupLimits,
@@ -16,7 +17,6 @@
     TargetState,
 )
 from siskindale.models.group import Role
-from siskindale.models.settings import Address
 from siskindale.proxy.tables import Group, Target
 from tests.proxy.deployment import Deployment
 
--- a/tests/proxy/deployment.py
+++ b/tests/proxy/deployment.py
@@ -9,7 +9,7 @@
 from gevent import socket
 
 from bench.processes import Process, Processes, free_ports, own_host, wait_until
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from standins.deployment.group import Instance, TargetGroup
 from standins.deployment.store import PlatformStandin
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,9 +10,9 @@
 from gevent.server import StreamServer
 
 from bench.deployment import GroupStandin, PlatformStandin
+from siskindale.models.address import Address
 from siskindale.models.bundle import Target
 from siskindale.models.group import LogPosition, Role
-from siskindale.models.settings import Address
 from siskindale.store.http import http_platform
 from siskindale.store.interface import Platform, PlatformFailure, Write
 from siskindale.targets.http import HttpTargets
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -6,7 +6,7 @@
 from siskindale.membership.assignment import Assignment
 from siskindale.membership.directory import Member, from_row, to_row
 from siskindale.membership.rendezvous import rank
-from siskindale.models.settings import Address
+from siskindale.models.address import Address
 from tests.fakes.settings import bundle
 
 DOMAINS = ("smolyan", "chepelare", "devin")
