Import the log library after the start, and serve probes without a WSGI server

Cause: structlog and the WSGI server import asyncio, TLS and e-mail, a sixth of the start. Change: log lines from before are kept and written 0.3 s later with the time they waited; probes and metrics have a small HTTP server.

--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -28,6 +28,9 @@
 from siskindale.runtime.logs import logger
 from siskindale.transport.mailbox import Mailbox
 
+# By then the sessions that come with the start have their first connections.
+LOGS_DELAY_S = 0.3
+
 
 class ProxyProgram:
     """All parts of the session proxy of one VM."""
@@ -110,5 +113,9 @@
 def run(settings: ProxySettings, env: Environment) -> ExitStatus:
     """Runs the session proxy until it is stopped."""
     stream = BoundedStream(env.stdout.fileno(), env.clock.monotonic)
-    logs.configure(settings.log_level, cast(TextIO, stream), vm=settings.vm)
+
+    def configure_logs() -> None:
+        logs.configure(settings.log_level, cast(TextIO, stream), vm=settings.vm)
+
+    gevent.spawn_later(LOGS_DELAY_S, configure_logs)
     return ProxyProgram(settings).run()
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -1,10 +1,9 @@
 """Servers of the session proxy: client sessions, readiness and metrics."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 from gevent import socket
-from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
 from siskindale.models.address import Address
@@ -14,8 +13,10 @@
 from siskindale.proxy.session import ClientSession
 from siskindale.proxy.state import ProxyState
 from siskindale.runtime import counters
+from siskindale.transport.http_server import Response, http_server
 
 ACCEPT_BACKLOG = 1024
+METRICS_PATH = "/metrics"
 
 
 class SessionServer:
@@ -53,31 +54,19 @@
             metrics.SESSIONS.dec()
 
 
-def readiness_server(address: Address, is_ready: Callable[[], bool]) -> WSGIServer:
+def readiness_server(address: Address, is_ready: Callable[[], bool]) -> StreamServer:
     """Returns the server of the platform's readiness probe; only the status counts."""
+    return http_server(address, {READINESS_PATH: lambda: Response(200 if is_ready() else 503)})
 
-    def app(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        if environ["PATH_INFO"] != READINESS_PATH:
-            start_response("404 Not Found", [("Content-Length", "0")])
-        elif is_ready():
-            start_response("200 OK", [("Content-Length", "0")])
-        else:
-            start_response("503 Service Unavailable", [("Content-Length", "0")])
-        return []
 
-    return WSGIServer((address.host, address.port), app, log=None, error_log=None)
+def metrics_server(address: Address) -> StreamServer:
+    """Returns the server of the metrics of this process."""
+    return http_server(address, {METRICS_PATH: _metrics})
 
 
-def metrics_server(address: Address) -> WSGIServer:
-    """Returns the server of the metrics of this process.
+def _metrics() -> Response:
+    # Imported with the first request, because it would delay the start.
+    from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-    The metrics library is imported with the first request, because it would delay the start.
-    """
-
-    def app(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        from prometheus_client import make_wsgi_app
-
-        counters.expose()
-        return make_wsgi_app()(environ, start_response)
-
-    return WSGIServer((address.host, address.port), app, log=None, error_log=None)
+    counters.expose()
+    return Response(200, generate_latest(), CONTENT_TYPE_LATEST)
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -19,7 +19,6 @@
 from siskindale.runtime.logs import logger
 
 DEFAULT_TRANSACTION_IDLE_S = 3.0
-# Kept, because looking a logger up for each statement costs as much as rendering its line.
 _STATEMENT_LOG = logger()
 
 
--- a/siskindale/runtime/logs.py
+++ b/siskindale/runtime/logs.py
@@ -1,60 +1,83 @@
-"""Logging: one line of key=value pairs for each event."""
+"""Logging: one line of key=value pairs for each event.
 
-import logging
-import re
-from collections.abc import MutableMapping
+The library behind it is imported by `configure`. A session proxy calls `configure` only once it
+serves, because the import takes a tenth of its start; what it logs before is kept until then.
+"""
+
+import sys
+import time
+import traceback
+from collections.abc import Callable
 from typing import Any, TextIO
 
-import structlog
+import attrs
+
+MAX_EARLY_LINES = 1000
+
+Write = Callable[[str, str, dict[str, Any]], None]
+
+
+@attrs.define
+class _Output:
+    """Where lines go; `early` holds those from before the configuration."""
+
+    write: Write | None = None
+    early: list[tuple[float, str, str, dict[str, Any]]] = attrs.field(factory=list)
+
+
+_output = _Output()
 
 
 def configure(level: str, stream: TextIO, **fields: Any) -> None:
     """Sets up logging to `stream`; `fields` stand in every line of this program."""
-    structlog.configure(
-        processors=[
-            _constant_fields(fields),
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            _render,
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(
-            logging.getLevelNamesMapping()[level.upper()]
-        ),
-        logger_factory=structlog.WriteLoggerFactory(file=stream),
-        cache_logger_on_first_use=True,
-    )
-
-
-def _constant_fields(fields: dict[str, Any]) -> Any:
-    # Context variables do not reach greenlets that run already, so a processor adds the fields.
-    def add(_: Any, __: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
-        return {**fields, **event}
-
-    return add
-
-
-_KEY_ORDER = ("timestamp", "level", "event")
-_LOGFMT = structlog.processors.LogfmtRenderer(key_order=_KEY_ORDER, drop_missing=True)
-_QUOTED = re.compile(r'[\x00-\x20="\\\x7f]')
-_PLAIN_TYPES = frozenset({str, int, float})
-
-
-def _render(wrapped: Any, method: str, event: MutableMapping[str, Any]) -> str:
-    """Renders a line; the general renderer takes a tenth of the time of a small request.
-
-    It is left to lines with values that need quotes or a special form.
-    """
-    if not all(type(value) in _PLAIN_TYPES for value in event.values()):
-        return _LOGFMT(wrapped, method, event)
-    values = [str(value) for value in event.values()]
-    if _QUOTED.search("".join(values)):
-        return _LOGFMT(wrapped, method, event)
-    fields = dict(zip(event, values, strict=True))
-    head = [f"{name}={fields.pop(name)}" for name in _KEY_ORDER]
-    return " ".join([*head, *[f"{name}={value}" for name, value in fields.items()]])
-
-
-def logger(**fields: Any) -> Any:
+    from siskindale.runtime import structured_logs
+
+    structured_logs.configure(level, stream, **fields)
+    _output.write = structured_logs.write
+    early, _output.early = _output.early, []
+    for logged_at, method, event, values in early:
+        waited_ms = round((time.monotonic() - logged_at) * 1000, 1)
+        _output.write(method, event, {**values, "waited_ms": waited_ms})
+
+
+@attrs.frozen
+class Logger:
+    """Writes events with its fields in each of their lines."""
+
+    fields: dict[str, Any]
+
+    def debug(self, event: str, **fields: Any) -> None:
+        """Logs an event that only developers need."""
+        self._log("debug", event, fields)
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Logs an event of normal operation."""
+        self._log("info", event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Logs an event that the program copes with."""
+        self._log("warning", event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        """Logs a failure."""
+        self._log("error", event, fields)
+
+    def exception(self, event: str, **fields: Any) -> None:
+        """Logs a failure with the exception that is being handled."""
+        self._log("exception", event, fields)
+
+    def _log(self, method: str, event: str, fields: dict[str, Any]) -> None:
+        values = {**self.fields, **fields}
+        if _output.write is not None:
+            _output.write(method, event, values)
+        elif len(_output.early) < MAX_EARLY_LINES:
+            if method == "exception":
+                method, values["exception"] = "error", traceback.format_exc()
+            _output.early.append((time.monotonic(), method, event, values))
+        else:
+            print(f"event={event} log lines before the start are dropped", file=sys.stderr)
+
+
+def logger(**fields: Any) -> Logger:
     """Returns a logger with `fields` in each of its lines."""
-    return structlog.get_logger(**fields)
+    return Logger(fields)
