Import the message library after the start

Cause: pynng imports asyncio, an eighth of the start. Change: peers are connected 0.1 s after the proxy listens.

--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -1,6 +1,10 @@
 """Exchange of state with the other session proxies of the deployment."""
 
+from __future__ import annotations
+
+import itertools
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 import gevent
@@ -16,12 +20,15 @@
     StateRequest,
     TargetsNotice,
 )
+from siskindale.models.messages import Body
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy.decisions.connections import is_starved
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group, Target
 from siskindale.runtime.logs import logger
-from siskindale.transport.mailbox import Delivery, Mailbox
+
+if TYPE_CHECKING:
+    from siskindale.transport.mailbox import Delivery, Mailbox
 
 GOSSIP_INTERVAL_S = 1.5
 LOSS_INTERVAL_S = 0.2
@@ -53,22 +60,26 @@
         self,
         settings: ProxySettings,
         clock: Clock,
-        mailbox: Mailbox,
         state: ProxyState,
         give_way: Callable[[Group, Target], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._mailbox = mailbox
+        self._mailbox: Mailbox | None = None
         self._state = state
         self._give_way = give_way
         self._on_notice: Callable[[PromotionNotice, str], None] | None = None
         self._peers: dict[str, Peer] = {}
         self._seeds = {s.inbox_url for s in settings.seeds if s != settings.peers}
         self._requested_at = 0.0
+        self._correlations = itertools.count(1)
         self._sample_requests: dict[int, float] = {}
         self._samples_asked: dict[str, float] = {}
         self.draining = False
+
+    def connect(self, mailbox: Mailbox) -> None:
+        """Starts the exchange of messages; before, this VM knows no peer and sends nothing."""
+        self._mailbox = mailbox
         mailbox.on(Gossip, self._on_gossip)
         mailbox.on(StateRequest, self._on_request)
         mailbox.on(StateAnswer, self._on_answer)
@@ -76,6 +87,7 @@
         mailbox.on(TargetsNotice, self._on_targets)
         mailbox.on(SampleRequest, self._on_sample_request)
         mailbox.on(SampleAnswer, self._on_sample_answer)
+        mailbox.start()
 
     def live(self) -> list[Peer]:
         """Returns the peers that were heard of lately."""
@@ -112,7 +124,7 @@
     def notify_promotion(self, notice: PromotionNotice) -> None:
         """Tells all peers that a promotion is ordered."""
         for peer in self.live():
-            self._mailbox.send(peer.url, notice)
+            self._send(peer.url, notice)
 
     def notify_targets(self) -> None:
         """Tells all peers of changed registrations, if there are any."""
@@ -122,7 +134,7 @@
         }
         if changes:
             for peer in self.live():
-                self._mailbox.send(peer.url, TargetsNotice(changes))
+                self._send(peer.url, TargetsNotice(changes))
 
     def request_state(self) -> None:
         """Asks a peer for what the store holds, at a limited rate."""
@@ -132,7 +144,7 @@
         self._requested_at = now
         known = [peer.url for peer in self.live()] or sorted(self._seeds)
         for url in known[:3]:
-            self._mailbox.send(url, StateRequest())
+            self._send(url, StateRequest())
 
     def request_sample(self, group: str) -> None:
         """Asks some peers for a sample of a group, at a limited rate."""
@@ -142,9 +154,9 @@
         self._samples_asked[group] = now
         asked = sorted(self.live(), key=lambda peer: peer.draining)[:SAMPLE_PEERS]
         for peer in asked:
-            correlation = self._mailbox.next_correlation()
+            correlation = next(self._correlations)
             self._sample_requests[correlation] = now
-            self._mailbox.send(peer.url, SampleRequest(group), correlation)
+            self._send(peer.url, SampleRequest(group), correlation)
         self._forget_requests(now)
 
     def _forget_requests(self, now: float) -> None:
@@ -161,7 +173,7 @@
         age = self._clock.monotonic() - sample.taken_at
         answer = SampleAnswer(group.name, sample.position, age)
         envelope = delivery.envelope
-        self._mailbox.send(envelope.reply_to, answer, envelope.correlation_id, envelope.sender_boot)
+        self._send(envelope.reply_to, answer, envelope.correlation_id, envelope.sender_boot)
 
     def _on_sample_answer(self, delivery: Delivery) -> None:
         answer: SampleAnswer = delivery.body
@@ -198,7 +210,7 @@
         urls = {peer.url for peer in self._peers.values()}
         for url in urls | self._seeds:
             new = url not in urls
-            self._mailbox.send(url, self._gossip(losses, wants_answer=new, greeting=new))
+            self._send(url, self._gossip(losses, wants_answer=new, greeting=new))
 
     def _gossip(
         self, losses: tuple[Loss, ...], wants_answer: bool, greeting: bool = True
@@ -214,11 +226,21 @@
             known=tuple(peer.url for peer in self.live()) if greeting else (),
         )
 
+    def _send(
+        self, url: str, body: Body, correlation_id: int = 0, addressed_boot: str = ""
+    ) -> None:
+        if self._mailbox is not None:
+            self._mailbox.send(url, body, correlation_id, addressed_boot)
+
+    def _discard(self, url: str) -> None:
+        if self._mailbox is not None:
+            self._mailbox.discard(url)
+
     def _forget_silent(self) -> None:
         limit = self._clock.monotonic() - FORGET_S
         for vm in [peer.vm for peer in self._peers.values() if peer.heard_at < limit]:
             logger().info("peer-forgotten", peer=vm)
-            self._mailbox.discard(self._peers.pop(vm).url)
+            self._discard(self._peers.pop(vm).url)
 
     def _on_gossip(self, delivery: Delivery) -> None:
         gossip: Gossip = delivery.body
@@ -233,22 +255,22 @@
         )
         self._yield(gossip.starved)
         if gossip.wants_answer:
-            self._mailbox.send(url, self._gossip(self._losses(), wants_answer=False))
+            self._send(url, self._gossip(self._losses(), wants_answer=False))
         self._greet(gossip.known)
         if gossip.catalog_version > self._state.catalog_version or not self._state.ready:
             self.request_state()
 
     def _greet(self, urls: tuple[str, ...]) -> None:
-        known = {peer.url for peer in self._peers.values()} | {self._mailbox.url}
+        known = {peer.url for peer in self._peers.values()} | {self._settings.peers.inbox_url}
         for url in set(urls) - known - self._seeds:
-            self._mailbox.send(url, self._gossip((), wants_answer=True))
+            self._send(url, self._gossip((), wants_answer=True))
 
     def _on_request(self, delivery: Delivery) -> None:
         state = self._state
         catalog = dict(state.raw_catalog) if state.raw_catalog is not None else None
         targets = {name: dict(raw) for name, raw in state.raw_targets.items()}
         answer = StateAnswer(catalog, targets, state.targets_version)
-        self._mailbox.send(delivery.envelope.reply_to, answer)
+        self._send(delivery.envelope.reply_to, answer)
 
     def _on_answer(self, delivery: Delivery) -> None:
         answer: StateAnswer = delivery.body
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -26,10 +26,10 @@
 from siskindale.runtime import logs
 from siskindale.runtime.log_stream import BoundedStream
 from siskindale.runtime.logs import logger
-from siskindale.transport.mailbox import Mailbox
 
 # By then the sessions that come with the start have their first connections.
 LOGS_DELAY_S = 0.3
+PEERS_DELAY_S = 0.1
 
 
 class ProxyProgram:
@@ -43,8 +43,7 @@
         self._stopping = Event()
         self._pool = ConnectionPool(settings, clock, groups, self._vm_count, self._notify_peers)
         self._state = ProxyState(settings, clock, groups, self._pool)
-        self._mailbox = Mailbox(settings.vm, settings.peers, clock)
-        self._peers = Peers(settings, clock, self._mailbox, self._state, self._pool.give_way)
+        self._peers = Peers(settings, clock, self._state, self._pool.give_way)
         store = PlatformStore(settings.store)
         self._failover = Failover(
             settings, self._state, self._pool, self._peers, FailoverDuty(settings, store)
@@ -65,11 +64,10 @@
         address = self._settings.readiness
         readiness_server(address, self._is_ready).start()
         self._serve_metrics(Address(address.host, self._settings.metrics_port))
-        self._mailbox.start()
         for run in (
             self._catalog.run,
             self._targets.run,
-            self._peers.run,
+            self._exchange_state,
             self._failover.run,
             self._failover.keep_duty,
         ):
@@ -83,6 +81,14 @@
         self._stop()
         return ExitStatus.SUCCESS
 
+    def _exchange_state(self) -> None:
+        """Exchanges state with peers; the first clients do not wait for the import it needs."""
+        gevent.sleep(PEERS_DELAY_S)
+        from siskindale.transport.mailbox import Mailbox
+
+        self._peers.connect(Mailbox(self._settings.vm, self._settings.peers, self._clock))
+        self._peers.run()
+
     def _serve_metrics(self, address: Address) -> None:
         """Serves metrics; without them the proxy still serves its clients."""
         try:
