Repeat reads after a multiple of the target's expected latency

Cause: a read whose reply was lost waited 250 ms, longer than its objective of 200 ms. Change: a read is repeated after eight times the expected latency, 120 ms at least, 400 ms at most.

--- a/siskindale/proxy/decisions/placement.py
+++ b/siskindale/proxy/decisions/placement.py
@@ -16,6 +16,9 @@
 # A slow target is tried again after its measured latency has faded to that of an unknown one.
 LATENCY_HALF_LIFE_S = 2.0
 LATENCY_WEIGHT = 0.2
+REPEAT_FACTOR = 8.0
+REPEAT_MIN_S = 0.12
+REPEAT_MAX_S = 0.4
 # A leaving primary serves until its successor leads, but not beyond the time that targets have.
 LEAVING_MARGIN_S = 0.5
 
@@ -57,6 +60,16 @@
     return INITIAL_LATENCY_S + (target.latency_s - INITIAL_LATENCY_S) * fade
 
 
+def repeat_after(target: Target, now: float) -> float:
+    """Returns after how many seconds without a reply a read is repeated at another target.
+
+    Replies get lost, and a read can be repeated. A slow target gets more time, because a repetition
+    under load would only add to it.
+    """
+    wanted = REPEAT_FACTOR * expected_latency(target, now)
+    return min(REPEAT_MAX_S, max(REPEAT_MIN_S, wanted))
+
+
 def note_latency(target: Target, duration_s: float, now: float) -> None:
     """Records the duration of a statement."""
     known = expected_latency(target, now)
--- a/siskindale/proxy/executor.py
+++ b/siskindale/proxy/executor.py
@@ -21,8 +21,6 @@
 
 # An overloaded target is asked again after this time.
 RETRY_PAUSE_S = 0.01
-# A read without a reply for this long is repeated at another target.
-READ_REPEAT_S = 0.25
 # A statement of a transaction without a reply for this long is given up, so that the client can
 # repeat the transaction while it has time.
 TRANSACTION_REPLY_S = 0.5
@@ -196,7 +194,7 @@
         if proof:
             before.append(wire.encode_begin(read_only=False))
         connection.send([*before, message, *([wire.encode_rollback()] if proof else [])])
-        limit = self._reply_limit(operation, started)
+        limit = self._reply_limit(operation, connection, started)
         replies = [connection.receive(limit - self._pool.now()) for _ in [*before, message]]
         if proof:
             connection.receive(limit - self._pool.now())
@@ -214,9 +212,12 @@
             connection.state = SessionState.FAILED
         return Reply(error=failed.error, detail=failed.detail)
 
-    def _reply_limit(self, operation: Operation, started: float) -> float:
+    def _reply_limit(
+        self, operation: Operation, connection: TargetConnection, started: float
+    ) -> float:
         if operation.access is Access.READ:
-            return min(operation.deadline, started + READ_REPEAT_S)
+            repeated_at = started + placement.repeat_after(connection.target, started)
+            return min(operation.deadline, repeated_at)
         return operation.deadline
 
     @staticmethod
--- a/tests/proxy/test_placement.py
+++ b/tests/proxy/test_placement.py
@@ -62,3 +62,15 @@
     group.targets["a"].avoid_until = 2.0
     assert order(group, WRITE, now=1.9) == []
     assert order(group, WRITE, now=2.0) == ["a"]
+
+
+def test_a_lost_reply_is_noticed_within_the_objective(group: Group) -> None:
+    """Guards against a read that waits for a lost reply until its objective has passed."""
+    assert placement.repeat_after(group.targets["b"], now=1.0) < 0.15
+
+
+def test_a_slow_target_is_not_given_the_same_read_twice(group: Group) -> None:
+    """Guards against repetitions that double the load of targets that are slow already."""
+    for _ in range(20):
+        placement.note_latency(group.targets["b"], 0.1, now=1.0)
+    assert placement.repeat_after(group.targets["b"], now=1.0) == placement.REPEAT_MAX_S
