Read settings again on SIGHUP, and show the state of a deployment

siskindale-proxy status FILE [--json] reads the catalog, registrations and the failover duty from the store. SIGHUP checks the settings file, logs what changed and what needs a restart.

--- a/siskindale/models/vm.py
+++ b/siskindale/models/vm.py
@@ -25,3 +25,13 @@
     grace_s: float = 6.0
     metrics_port: int = 9464
     log_level: str = "info"
+
+
+# Fields that take effect without a restart.
+RELOADABLE = frozenset({"seeds", "drain_s", "grace_s"})
+
+
+def changed_fields(old: ProxySettings, new: ProxySettings) -> set[str]:
+    """Returns the names of the fields that differ."""
+    names = (field.name for field in attrs.fields(ProxySettings))
+    return {name for name in names if getattr(old, name) != getattr(new, name)}
--- a/siskindale/proxy/commands.py
+++ b/siskindale/proxy/commands.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Annotated
 
 import typer
 from returns.result import Failure
@@ -10,6 +11,7 @@
 from siskindale.exits import ExitStatus
 from siskindale.platform.settings import load_settings
 from siskindale.proxy import core
+from siskindale.proxy.status import read_status
 from siskindale.runtime.commands import SettingsOption, VersionOption, invoke, print_errors
 
 EXAMPLES = """
@@ -18,6 +20,7 @@
 \b
   siskindale-proxy --settings boot.toml
   siskindale-proxy check-settings boot.toml
+  siskindale-proxy status boot.toml --json
 
 Without options, the settings file is the one that SISKINDALE_SETTINGS names.
 """
@@ -48,6 +51,26 @@
     return ExitStatus.SUCCESS
 
 
+@app.command()
+def status(
+    context: typer.Context,
+    file: Path,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> ExitStatus:
+    """Show the catalog, the targets and the holder of the failover duty, from the store."""
+    loaded = load_settings(file)
+    if isinstance(loaded, Failure):
+        print_errors(context.obj, loaded.failure())
+        return ExitStatus.INVALID_INPUT
+    read = read_status(loaded.unwrap())
+    if isinstance(read, Failure):
+        print_errors(context.obj, [f"store: {read.failure().detail}"])
+        return ExitStatus.ERROR
+    found = read.unwrap()
+    typer.echo(found.as_json() if as_json else found.as_text())
+    return ExitStatus.SUCCESS
+
+
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Runs the command line."""
     return invoke(app, args, env)
--- a/siskindale/proxy/core.py
+++ b/siskindale/proxy/core.py
@@ -34,4 +34,4 @@
         for finding in loaded.failure():
             print(f"{env.program}: error: {finding}", file=env.stderr)
         return ExitStatus.INVALID_INPUT
-    return program.run(loaded.unwrap(), env)
+    return program.run(loaded.unwrap(), env, lambda: load_settings(path))
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -89,6 +89,10 @@
         mailbox.on(SampleAnswer, self._on_sample_answer)
         mailbox.start()
 
+    def reload(self, settings: ProxySettings) -> None:
+        """Takes changed seeds into use."""
+        self._seeds = {s.inbox_url for s in settings.seeds if s != self._settings.peers}
+
     def live(self) -> list[Peer]:
         """Returns the peers that were heard of lately."""
         limit = self._clock.monotonic() - SILENCE_S
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -49,6 +49,10 @@
         self._vms = vms
         self._notify_peers = notify_peers
 
+    def reload(self, settings: ProxySettings) -> None:
+        """Takes changed settings into use."""
+        self._settings = settings
+
     def now(self) -> float:
         """Seconds of the suspend-aware clock."""
         return self._clock.monotonic()
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -3,15 +3,18 @@
 import gc
 import os
 import signal
+from collections.abc import Callable
 from typing import TextIO, cast
 
 import gevent
 from gevent.event import Event
+from returns.result import Failure, Result
 
+from siskindale.config.findings import Finding
 from siskindale.context import Environment, SuspendAwareClock
 from siskindale.exits import ExitStatus
 from siskindale.models.address import Address
-from siskindale.models.vm import ProxySettings
+from siskindale.models.vm import RELOADABLE, ProxySettings, changed_fields
 from siskindale.platform.store import PlatformStore
 from siskindale.proxy.duty import FailoverDuty
 from siskindale.proxy.executor import Executor
@@ -32,10 +35,14 @@
 PEERS_DELAY_S = 0.1
 
 
+Load = Callable[[], Result[ProxySettings, tuple[Finding, ...]]]
+
+
 class ProxyProgram:
     """All parts of the session proxy of one VM."""
 
-    def __init__(self, settings: ProxySettings) -> None:
+    def __init__(self, settings: ProxySettings, load: Load) -> None:
+        self._load = load
         clock = SuspendAwareClock()
         groups: dict[str, Group] = {}
         self._settings = settings
@@ -113,15 +120,29 @@
         self._peers.announce()
 
     def _reload(self) -> None:
-        logger().info("settings-reload", note="addresses are read at start only")
+        """Reads the settings again; a file with findings changes nothing."""
+        loaded = self._load()
+        if isinstance(loaded, Failure):
+            for finding in loaded.failure():
+                logger().error("settings-invalid", finding=str(finding))
+            return
+        settings = loaded.unwrap()
+        changed = changed_fields(self._settings, settings)
+        needs_restart = sorted(changed - RELOADABLE)
+        logger().info(
+            "settings-reloaded", changed=",".join(sorted(changed)), needs_restart=needs_restart
+        )
+        self._settings = settings
+        self._pool.reload(settings)
+        self._peers.reload(settings)
 
 
-def run(settings: ProxySettings, env: Environment) -> ExitStatus:
-    """Runs the session proxy until it is stopped."""
+def run(settings: ProxySettings, env: Environment, load: Load) -> ExitStatus:
+    """Runs the session proxy until it is stopped; `load` reads its settings again."""
     stream = BoundedStream(env.stdout.fileno(), env.clock.monotonic)
 
     def configure_logs() -> None:
         logs.configure(settings.log_level, cast(TextIO, stream), vm=settings.vm)
 
     gevent.spawn_later(LOGS_DELAY_S, configure_logs)
-    return ProxyProgram(settings).run()
+    return ProxyProgram(settings, load).run()
--- /dev/null
+++ b/siskindale/proxy/status.py
@@ -0,0 +1,95 @@
+"""State of a deployment as the store has it, for operators."""
+
+import json
+from typing import Any
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from siskindale.models.vm import ProxySettings
+from siskindale.platform.entries import (
+    CATALOG_KEY,
+    CATALOG_TABLE,
+    TARGETS_TABLE,
+    decode_catalog,
+    decode_target,
+)
+from siskindale.platform.store import PlatformStore
+from siskindale.proxy.duty import KEY, TABLE
+from siskindale.store.interface import PlatformError
+
+
+@attrs.frozen
+class TargetLine:
+    """A registration; `problem` tells why it names no target."""
+
+    id: str
+    group: str = ""
+    state: str = ""
+    role: str = ""
+    failure_domain: str = ""
+    problem: str = ""
+
+
+@attrs.frozen
+class DeploymentStatus:
+    """Version of the catalog, registrations, and the holder of the failover duty."""
+
+    catalog_version: int
+    databases: tuple[str, ...]
+    targets: tuple[TargetLine, ...]
+    duty_holder: str
+    fencing_token: int
+
+    def as_json(self) -> str:
+        """Returns the state as JSON."""
+        return json.dumps(attrs.asdict(self), indent=2)
+
+    def as_text(self) -> str:
+        """Returns the state as lines for a terminal."""
+        holder = self.duty_holder or "nobody"
+        lines = [
+            f"catalog version {self.catalog_version}, databases: {', '.join(self.databases)}",
+            f"failover duty: {holder}, fencing token {self.fencing_token}",
+        ]
+        for target in self.targets:
+            if target.problem:
+                lines.append(f"{target.id}: ignored, {target.problem}")
+            else:
+                where = f"{target.group} {target.role} {target.state} {target.failure_domain}"
+                lines.append(f"{target.id}: {where}")
+        return "\n".join(lines)
+
+
+def read_status(settings: ProxySettings) -> Result[DeploymentStatus, PlatformError]:
+    """Reads the state from the store."""
+    store = PlatformStore(settings.store)
+    catalog = store.read(CATALOG_TABLE, CATALOG_KEY)
+    targets = store.snapshot(TARGETS_TABLE)
+    duty = store.read(TABLE, KEY)
+    for answer in (catalog, targets, duty):
+        if isinstance(answer, Failure):
+            return answer
+    return Success(_status(catalog.unwrap(), targets.unwrap().rows, duty.unwrap()))
+
+
+def _status(catalog: Any, targets: Any, duty: Any) -> DeploymentStatus:
+    decoded = decode_catalog(catalog.value) if catalog else Failure("no catalog")
+    known = decoded.unwrap() if isinstance(decoded, Success) else None
+    return DeploymentStatus(
+        catalog_version=known.version if known else 0,
+        databases=tuple(sorted(known.routes)) if known else (),
+        targets=tuple(_line(row.key, row.value) for row in targets),
+        duty_holder=str(duty.value.get("holder", "")) if duty else "",
+        fencing_token=duty.version if duty else 0,
+    )
+
+
+def _line(target_id: str, value: dict[str, Any]) -> TargetLine:
+    decoded = decode_target(target_id, value)
+    if isinstance(decoded, Failure):
+        return TargetLine(target_id, problem=decoded.failure())
+    entry = decoded.unwrap()
+    return TargetLine(
+        target_id, entry.group, entry.state.value, entry.role.value, entry.failure_domain
+    )
--- a/tests/proxy/deployment.py
+++ b/tests/proxy/deployment.py
@@ -145,10 +145,14 @@
         }
         self.platform.put("op", "config", value)
 
+    def path(self, name: str) -> Path:
+        """Path of a proxy's settings."""
+        return self._directory / f"{name}.toml"
+
     def settings_file(self, name: str) -> tuple[Path, Address, Address]:
         """Writes the settings of a proxy; returns them and the addresses for clients and probes."""
         clients, readiness, peers = free_ports(3, next(self._hosts))
-        path = self._directory / f"{name}.toml"
+        path = self.path(name)
         path.write_text(f"""
 node = "{name}"
 zone = "t0"
--- a/tests/proxy/test_deployment.py
+++ b/tests/proxy/test_deployment.py
@@ -1,5 +1,6 @@
 """Failures of targets, store and proxies, seen by clients of proxies that run as processes."""
 
+import json
 import signal
 from pathlib import Path
 
@@ -132,3 +133,29 @@
     log = process.log.read_text()
     for place in ("$.node", "$.zone", "$.seeds[0]", "$.listen.front", "$.platform.address"):
         assert place in log
+
+
+def test_status_shows_the_deployment(deployment: Deployment, processes: Processes) -> None:
+    """Guards against an operator who cannot see what the proxies go by."""
+    deployment.platform.put("servers", "t9", {"service": "g1"})
+    path, *_ = deployment.settings_file("vm1")
+    process = processes.start("status", "siskindale.proxy", ["status", str(path), "--json"])
+    eventually(lambda: not process.running, "the command has ended")
+    assert process.popen.returncode == ExitStatus.SUCCESS
+    shown = json.loads(process.log.read_text())
+    assert shown["catalog_version"] == 1
+    assert {t["id"]: t["role"] for t in shown["targets"]}["t0"] == "primary"
+    assert shown["targets"][-1]["problem"]
+
+
+def test_sighup_reads_the_settings_again(deployment: Deployment) -> None:
+    """Guards against a reload that stops the proxy or takes a broken file into use."""
+    proxy = deployment.start_proxy()
+    path = deployment.path("vm1")
+    path.write_text(path.read_text().replace("grace_s = 4", "grace_s = 3"))
+    proxy.process.signal(signal.SIGHUP)
+    eventually(lambda: "changed=grace_s" in proxy.log, "the change is logged")
+    path.write_text("node = 7")
+    proxy.process.signal(signal.SIGHUP)
+    eventually(lambda: "settings-invalid" in proxy.log, "the findings are logged")
+    assert proxy.client().query("READ item").error is None
