End hung watches of the configuration within the time it has to take effect

The store was silent until 7.25 s; a watch with a wait of 8 s that had begun before hung until after 10.3 s, while the configuration of 7.25 s had to be in effect at 10.25 s. Change: watches wait 2 s with 0.6 s of slack, a hung one is repeated at once, connecting to the store is limited to 0.5 s, and a VM that adopts a configuration tells its peers 0.2 s later.

--- a/siskindale/platform/store.py
+++ b/siskindale/platform/store.py
@@ -22,8 +22,10 @@
 
 # A call of the store takes about 4 ms; the limit leaves room for a store that is 60 times slower.
 CALL_TIMEOUT_S = 1.0
+# Connecting takes a round trip; an attempt that began in an outage must not outlast it by much.
+CONNECT_TIMEOUT_S = 0.5
 # Beyond the time for which a watch may wait.
-WATCH_SLACK_S = 1.0
+WATCH_SLACK_S = 0.6
 PAGE_ROWS = 500
 
 _FAILURES = {
@@ -40,7 +42,9 @@
 
     def __init__(self, address: Address) -> None:
         headers = {"Content-Type": "application/json"}
-        self._client = HttpClient(address, headers, Purpose.PLATFORM)
+        self._client = HttpClient(
+            address, headers, Purpose.PLATFORM, connect_timeout_s=CONNECT_TIMEOUT_S
+        )
 
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Returns the present row, None where it is absent."""
--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -11,9 +11,10 @@
 from siskindale.runtime.logs import logger
 from siskindale.store.interface import Changes, PlatformError, PlatformFailure, WatchedTables
 
-# A watch that the network has cut silently is noticed after this time. Peers tell of newer versions
-# meanwhile.
-CATALOG_WAIT_S = 8.0
+# A watch that hangs since a silent outage must end, and the next one succeed, within the 3 s that a
+# configuration has to take effect.
+CATALOG_WAIT_S = 2.0
+TIMEOUT_RETRY_S = 0.05
 # Each read has a price, so VMs read in turn and tell each other what has changed. A VM that hears
 # nothing still learns within the time that targets serve after they were reported as leaving.
 TARGETS_INTERVAL_S = 5.0
@@ -22,6 +23,10 @@
 MISSING_S = 3.0
 
 
+# A call without an answer has waited already; one that was refused would be refused again.
+_RETRY_S = {PlatformFailure.HISTORY_LOST: 0.0, PlatformFailure.UNKNOWN: TIMEOUT_RETRY_S}
+
+
 class TableFollower:
     """Keeps up with one table: a snapshot first, then changes."""
 
@@ -68,25 +73,29 @@
 class CatalogFollower:
     """Takes each new catalog into use as soon as the store has it."""
 
-    def __init__(self, tables: WatchedTables, state: ProxyState) -> None:
+    def __init__(
+        self, tables: WatchedTables, state: ProxyState, notify_peers: Callable[[], None]
+    ) -> None:
         self._follower = TableFollower(tables, CATALOG_TABLE, CATALOG_WAIT_S)
         self._state = state
+        self._notify_peers = notify_peers
 
     def run(self) -> None:
         """Follows until it is killed."""
         while True:
-            if not self._step():
-                gevent.sleep(RETRY_S)
+            gevent.sleep(self._step())
 
-    def _step(self) -> bool:
+    def _step(self) -> float:
+        """Waits for changes and adopts them; returns the pause before the next step, in seconds."""
         answer = self._follower.next_changes()
         if isinstance(answer, Failure):
-            return answer.failure().kind is PlatformFailure.HISTORY_LOST
+            return _RETRY_S.get(answer.failure().kind, RETRY_S)
         changes, _ = answer.unwrap()
-        for row in changes.rows:
-            if row.key == CATALOG_KEY and not row.deleted:
-                self._state.adopt_catalog(row.value, "store")
-        return True
+        rows = (row for row in changes.rows if row.key == CATALOG_KEY and not row.deleted)
+        adopted = [self._state.adopt_catalog(row.value, "store") for row in rows]
+        if any(adopted):
+            self._notify_peers()
+        return 0.0
 
 
 class TargetsFollower:
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -36,6 +36,8 @@
 SILENCE_S = 5.0
 FORGET_S = 30.0
 REQUEST_INTERVAL_S = 0.5
+# Peers whose watch works have the catalog by then and do not ask for it.
+ANNOUNCE_DELAY_S = 0.2
 SAMPLE_INTERVAL_S = 0.1
 SAMPLE_TIMEOUT_S = 2.0
 SAMPLE_PEERS = 3
@@ -125,6 +127,10 @@
         """Sets the handler for notices of promotions; it gets the name of the sender."""
         self._on_notice = handler
 
+    def announce_soon(self) -> None:
+        """Tells peers of a newer catalog that their own watch of the store may have missed."""
+        gevent.spawn_later(ANNOUNCE_DELAY_S, self.announce)
+
     def notify_promotion(self, notice: PromotionNotice) -> None:
         """Tells all peers that a promotion is ordered."""
         for peer in self.live():
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -55,7 +55,7 @@
         self._failover = Failover(
             settings, self._state, self._pool, self._peers, FailoverDuty(settings, store)
         )
-        self._catalog = CatalogFollower(store, self._state)
+        self._catalog = CatalogFollower(store, self._state, self._peers.announce_soon)
         self._targets = TargetsFollower(
             store, self._state, self._peers.request_state, self._peers.notify_targets
         )
--- a/siskindale/transport/http.py
+++ b/siskindale/transport/http.py
@@ -201,11 +201,13 @@
         headers: Mapping[str, str],
         purpose: Purpose,
         max_kept: int = MAX_KEPT,
+        connect_timeout_s: float = float("inf"),
     ) -> None:
         self._address = address
         self._traffic = Traffic(purpose)
         self._headers = headers
         self._max_kept = max_kept
+        self._connect_timeout_s = connect_timeout_s
         self._kept: list[HttpConnection] = []
 
     def request(
@@ -240,7 +242,8 @@
             if connection.usable:
                 return Success(connection)
             connection.close()
-        return HttpConnection.connect(self._address, self._headers, timeout_s, self._traffic)
+        limit_s = min(timeout_s, self._connect_timeout_s)
+        return HttpConnection.connect(self._address, self._headers, limit_s, self._traffic)
 
 
 def identity_headers(kind: str, name: str) -> dict[str, str]:
--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -15,6 +15,7 @@
 from siskindale.store.interface import Condition, Row, Write
 from standins.platform.services import Tables
 
+FOREVER_S = 600.0
 STATUS = {
     200: "200 OK",
     404: "404 Not Found",
@@ -40,13 +41,21 @@
     """Faults of the platform.
 
     `down` refuses calls of the store. `lose_promotions` is the number of calls that are carried out
-    `late_s` later and get no answer. `history_lost` refuses the next watches.
+    `late_s` later and get no answer. `history_lost` refuses the next watches. While it is `silent`,
+    the store answers no call, nor any that was under way when the silence began.
     """
 
     down: bool = False
     lose_promotions: int = 0
     late_s: float = 0.0
     history_lost: bool = False
+    silent: bool = False
+    silences: int = 0
+
+    def silence(self) -> None:
+        """Begins a silence."""
+        self.silent = True
+        self.silences += 1
 
 
 class PlatformStandin:
@@ -81,7 +90,10 @@
     def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         query = {name: v[0] for name, v in parse_qs(environ["QUERY_STRING"]).items()}
         body = environ["wsgi.input"].read()
+        silences = self.faults.silences
         status, answer = self._answer(environ, query, body)
+        if self.faults.silent or self.faults.silences != silences:
+            gevent.sleep(FOREVER_S)
         data = json.dumps(answer).encode()
         start_response(STATUS[status], [("Content-Length", str(len(data)))])
         return [data]
