--- a/bench/capacity/model.py
+++ b/bench/capacity/model.py
@@ -30,7 +30,7 @@
 STORE_READS_PER_S = 2_000
 STORE_WRITES_PER_S = 300
 
-# Durations of docs/operations.md for this size, and those of the code.
+# Durations of docs/OPERATIONS.md for this size, and those of the code.
 HEAD_POLL_S = 2.0
 DIRECTORY_POLL_S = 2.0
 PROGRAMS = 3
--- a/tests/proxy/test_deployment.py
+++ b/tests/proxy/test_deployment.py
@@ -159,3 +159,10 @@
     proxy.process.signal(signal.SIGHUP)
     eventually(lambda: "settings-invalid" in proxy.log, "the findings are logged")
     assert proxy.client().query("READ item").error is None
+
+
+def test_the_example_settings_have_no_findings(processes: Processes) -> None:
+    """Guards against an example that no proxy would start with."""
+    path = "docs/examples/proxy-boot.toml"
+    process = processes.start("example", "siskindale.proxy", ["check-settings", path])
+    assert process.popen.wait(PATIENCE_S) == ExitStatus.SUCCESS
