Split the execution of statements, and bound the start of a transaction

single.py runs statements outside of transactions, transactions.py those inside, routing.py what both need; reporting.py counts and logs statements. Cause of the changes in behaviour: a transaction whose early start had failed waited a second time, up to twice the time of a statement; exclusions of lagging replicas stayed while the primary was lost. Change: both attempts share one limit; exclusions end once they leave no reachable target.

--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -17,15 +17,18 @@
 from siskindale.models.vm import RELOADABLE, ProxySettings, changed_fields
 from siskindale.platform.store import PlatformStore
 from siskindale.proxy.duty import FailoverDuty
-from siskindale.proxy.executor import Executor
 from siskindale.proxy.failover import Failover
 from siskindale.proxy.followers import CatalogFollower, TargetsFollower
 from siskindale.proxy.peers import Peers
 from siskindale.proxy.pool import ConnectionPool
+from siskindale.proxy.routing import Router
 from siskindale.proxy.server import SessionServer, metrics_server, readiness_server
+from siskindale.proxy.session import Runners
 from siskindale.proxy.shutdown import drain
+from siskindale.proxy.single import StatementRunner
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group
+from siskindale.proxy.transactions import TransactionRunner
 from siskindale.runtime import logs
 from siskindale.runtime.log_stream import BoundedStream
 from siskindale.runtime.logs import logger
@@ -59,9 +62,11 @@
         self._targets = TargetsFollower(
             store, self._state, self._peers.request_state, self._peers.notify_targets
         )
-        self._server = SessionServer(
-            settings.clients, self._state, Executor(self._pool, self._peers.request_sample)
+        router = Router(self._pool, self._peers.request_sample)
+        runners = Runners(
+            StatementRunner(self._pool, router), TransactionRunner(self._pool, router)
         )
+        self._server = SessionServer(settings.clients, self._state, runners)
 
     def run(self) -> ExitStatus:
         """Serves until SIGTERM, then drains."""
--- /dev/null
+++ b/siskindale/proxy/routing.py
@@ -0,0 +1,91 @@
+"""What a statement needs of a target, for statements in and outside of transactions."""
+
+from collections.abc import Callable
+
+import gevent
+
+from siskindale.models.catalog import Consistency, Route
+from siskindale.models.group import LogPosition
+from siskindale.models.statements import Access, Statement, Verb
+from siskindale.platform import wire
+from siskindale.proxy.connection import ReplyTimeoutError, TargetConnection, encode_step
+from siskindale.proxy.decisions import leadership
+from siskindale.proxy.decisions.session_state import SessionValues, preparation, shared_name
+from siskindale.proxy.pool import ConnectionPool
+from siskindale.proxy.tables import Group, Need
+from siskindale.runtime.logs import logger
+
+# An overloaded target is asked again after this time.
+RETRY_PAUSE_S = 0.01
+# A peer answers within a round trip; then the read looks again for a target.
+SAMPLE_WAIT_S = 0.1
+# Replicas are about this far behind their primary.
+CATCH_UP_PAUSE_S = 0.02
+
+# Errors by which an exchange with a target ends without a whole reply.
+BROKEN = (OSError, ReplyTimeoutError, wire.ProtocolError)
+
+
+def preparation_messages(
+    connection: TargetConnection, values: SessionValues, statement: Statement | None
+) -> list[bytes]:
+    """Returns the messages that make a connection fit a session before a statement."""
+    return [encode_step(step) for step in preparation(connection.values, values, statement)]
+
+
+def prepared_name(values: SessionValues, statement: Statement) -> bytes:
+    """Returns the shared name of the prepared statement that is executed, if one is."""
+    if statement.verb is Verb.EXECUTE:
+        return shared_name(values.prepared[statement.name])
+    return b""
+
+
+class Router:
+    """Finds out what statements need, with the help of peers."""
+
+    def __init__(self, pool: ConnectionPool, request_sample: Callable[[str], None]) -> None:
+        self._pool = pool
+        self._request_sample = request_sample
+
+    def need_of(
+        self,
+        group: Group,
+        route: Route,
+        minimum: LogPosition | None,
+        access: Access,
+        deadline: float,
+    ) -> Need:
+        """Returns what a statement needs.
+
+        A read that only lacks a sample asks peers for one and waits for the primary meanwhile, but
+        only as long as an answer takes.
+        """
+        lacks_sample = (
+            minimum is None
+            and access is Access.READ
+            and route.consistency is not Consistency.LATEST
+        )
+        if lacks_sample:
+            self._request_sample(group.name)
+            deadline = min(deadline, self._pool.now() + SAMPLE_WAIT_S)
+        return Need(minimum, route.priority, deadline, minimum is None)
+
+    def note_demoted(self, group: Group, connection: TargetConnection) -> None:
+        """Records that a target refused as a replica what only the primary does."""
+        if leadership.note_not_primary(group, connection.target, self._pool.now()):
+            logger().info("primary-demoted", group=group.name, target=connection.target.id)
+
+    def allow_all_again(self, group: Group, excluded: set[str]) -> None:
+        """Forgets exclusions once they leave no target that can be reached.
+
+        Replicas catch up, and while the primary is lost they are all there is.
+        """
+        now = self._pool.now()
+        reachable = {
+            target.id
+            for target in group.targets.values()
+            if not target.leaving and now >= target.avoid_until
+        }
+        if reachable <= excluded:
+            excluded.clear()
+            gevent.sleep(CATCH_UP_PAUSE_S)
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -9,8 +9,7 @@
 from siskindale.models.address import Address
 from siskindale.platform.readiness import READINESS_PATH
 from siskindale.proxy import metrics
-from siskindale.proxy.executor import Executor
-from siskindale.proxy.session import ClientSession
+from siskindale.proxy.session import ClientSession, Runners
 from siskindale.proxy.state import ProxyState
 from siskindale.runtime import counters
 from siskindale.transport.http_server import Response, http_server
@@ -22,9 +21,9 @@
 class SessionServer:
     """Accepts clients and keeps their sessions."""
 
-    def __init__(self, address: Address, state: ProxyState, executor: Executor) -> None:
+    def __init__(self, address: Address, state: ProxyState, runners: Runners) -> None:
         self._state = state
-        self._executor = executor
+        self._runners = runners
         self._sessions: set[ClientSession] = set()
         self._server = StreamServer(
             (address.host, address.port), self._serve, backlog=ACCEPT_BACKLOG
@@ -44,7 +43,7 @@
         self._server.close()
 
     def _serve(self, sock: socket.socket, _: Any) -> None:
-        session = ClientSession(sock, self._state, self._executor)
+        session = ClientSession(sock, self._state, self._runners)
         self._sessions.add(session)
         metrics.SESSIONS.inc()
         try:
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -3,6 +3,7 @@
 import enum
 import socket as system_socket
 
+import attrs
 import gevent
 from gevent import socket
 
@@ -20,8 +21,10 @@
 from siskindale.platform import wire
 from siskindale.proxy.decisions.outcomes import Work
 from siskindale.proxy.decisions.session_state import SessionValues
-from siskindale.proxy.executor import Executor, Operation, Transaction
+from siskindale.proxy.reporting import report_statement
+from siskindale.proxy.single import Operation, StatementRunner
 from siskindale.proxy.state import ProxyState
+from siskindale.proxy.transactions import Transaction, TransactionRunner
 from siskindale.runtime.logs import logger
 
 START_TIMEOUT_S = 5.0
@@ -33,6 +36,14 @@
 _DONE = b"-"
 
 
+@attrs.frozen
+class Runners:
+    """What runs the statements of sessions."""
+
+    statements: StatementRunner
+    transactions: TransactionRunner
+
+
 class Phase(enum.Enum):
     """What a session is doing, for shutdown."""
 
@@ -44,11 +55,11 @@
 class ClientSession:
     """One connection of a client."""
 
-    def __init__(self, sock: socket.socket, state: ProxyState, executor: Executor) -> None:
+    def __init__(self, sock: socket.socket, state: ProxyState, runners: Runners) -> None:
         self._socket = sock
         self._reader = wire.LineReader(sock)
         self._state = state
-        self._executor = executor
+        self._runners = runners
         self._database = ""
         self._values = SessionValues()
         self._position: LogPosition | None = None
@@ -102,7 +113,7 @@
             return
         logger().info("transaction-aborted", database=self._database, reason=reason)
         transaction.failed = True
-        self._executor.end(transaction)
+        self._runners.transactions.end(transaction)
 
     def _has_input(self) -> bool:
         try:
@@ -148,9 +159,15 @@
             arrived = self._state.now()
             reply = self._handle(statement, arrived)
             self._send(wire.encode_reply(reply))
-            self._state.note_statement(statement, self._database, reply, arrived)
+            self._report(statement, reply, arrived)
             self._end_after_reply()
 
+    def _report(self, statement: Statement, reply: Reply, arrived: float) -> None:
+        state = self._state
+        route = state.route(self._database)
+        took_s = state.now() - arrived
+        report_statement(statement, route, reply, took_s, state.catalog_version)
+
     def _next_line(self) -> bytes | None:
         self._phase = Phase.WAITING
         self._last_reply_at = self._state.now()
@@ -175,7 +192,7 @@
     def _end_after_reply(self) -> None:
         transaction = self._transaction
         if transaction is not None and transaction.failed:
-            self._executor.end(transaction)
+            self._runners.transactions.end(transaction)
 
     def _handle(self, statement: Statement, arrived: float) -> Reply:
         if self._transaction is not None:
@@ -195,7 +212,7 @@
         if verb in (Verb.BEGIN, Verb.BEGIN_READ_ONLY):
             read_only = verb is Verb.BEGIN_READ_ONLY
             self._transaction = Transaction(read_only, route, group, arrived)
-            self._executor.begin_early(self._transaction, self._values, self._position)
+            self._runners.transactions.begin_early(self._transaction, self._values, self._position)
             return Reply(receipt=_DONE, state=SessionState.OPEN)
         return self._run_single(statement, route, arrived)
 
@@ -205,7 +222,7 @@
             return Reply(error=ErrorCode.UNKNOWN_PREPARED, detail=statement.name)
         group = self._state.group(route)
         operation = Operation(statement, route, group, arrived, access, self._position)
-        reply = self._executor.run_single(operation, self._values)
+        reply = self._runners.statements.run(operation, self._values)
         if reply.succeeded and access is Access.WRITE:
             self._note_commit(reply)
         return reply
@@ -246,10 +263,10 @@
         self, transaction: Transaction, statement: Statement, work: Work
     ) -> Reply:
         if transaction.connection is None:
-            refused = self._executor.begin(transaction, self._values, self._position)
+            refused = self._runners.transactions.begin(transaction, self._values, self._position)
             if refused is not None:
                 return self._fail(transaction, refused)
-        reply = self._executor.run_in_transaction(transaction, self._values, statement, work)
+        reply = self._runners.transactions.run(transaction, self._values, statement, work)
         if work is Work.TRANSACTION_WRITE:
             transaction.wrote = True
         if reply.error is not None:
@@ -264,21 +281,21 @@
 
     def _rolled_back(self, transaction: Transaction) -> Reply:
         self._transaction = None
-        self._executor.end(transaction)
+        self._runners.transactions.end(transaction)
         return Reply(receipt=_DONE)
 
     def _commit(self, transaction: Transaction, statement: Statement) -> Reply:
         self._transaction = None
         if transaction.failed:
-            self._executor.end(transaction)
+            self._runners.transactions.end(transaction)
             return Reply(error=ErrorCode.ABORTED, detail=b"transaction failed")
         if transaction.connection is None:
-            refused = self._executor.begin(transaction, self._values, self._position)
+            refused = self._runners.transactions.begin(transaction, self._values, self._position)
             if refused is not None:
                 return refused
         work = Work.COMMIT_OF_WRITES if transaction.wrote else Work.COMMIT_OF_READS
-        reply = self._executor.run_in_transaction(transaction, self._values, statement, work)
-        self._executor.end(transaction)
+        reply = self._runners.transactions.run(transaction, self._values, statement, work)
+        self._runners.transactions.end(transaction)
         if reply.succeeded and transaction.wrote:
             self._note_commit(reply)
         reply.state = SessionState.IDLE
@@ -301,7 +318,7 @@
     def _abandon_transaction(self) -> None:
         transaction, self._transaction = self._transaction, None
         if transaction is not None:
-            self._executor.end(transaction)
+            self._runners.transactions.end(transaction)
 
     def _send(self, data: bytes) -> None:
         with gevent.Timeout(SEND_TIMEOUT_S, OSError("client does not read")):
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -8,10 +8,8 @@
 
 from siskindale.context import Clock
 from siskindale.models.catalog import Catalog, Route, TargetEntry, TargetState
-from siskindale.models.statements import Reply, Statement
 from siskindale.models.vm import ProxySettings
 from siskindale.platform.entries import decode_catalog, decode_target
-from siskindale.proxy import metrics
 from siskindale.proxy.decisions import leadership
 from siskindale.proxy.decisions.registration import is_newer
 from siskindale.proxy.pool import ConnectionPool
@@ -19,7 +17,6 @@
 from siskindale.runtime.logs import logger
 
 DEFAULT_TRANSACTION_IDLE_S = 3.0
-_STATEMENT_LOG = logger()
 
 
 class ProxyState:
@@ -168,45 +165,6 @@
             if target.missing_since is not None:
                 target.missing_since = self.now()
 
-    def note_statement(
-        self, statement: Statement, database: str, reply: Reply, arrived: float
-    ) -> None:
-        """Counts and logs a statement that was answered.
-
-        What the proxy answers by itself, such as a session value, is only counted.
-        """
-        route = self.route(database)
-        kind = route.consistency.value if route else "none"
-        outcome = reply.error.value if reply.error else "done"
-        duration = self.now() - arrived
-        metrics.STATEMENTS.labels(kind, outcome).inc()
-        metrics.STATEMENT_SECONDS.labels(kind).observe(duration)
-        if reply.error is not None:
-            _STATEMENT_LOG.info(
-                "statement-failed",
-                request=statement.request_id.decode(errors="replace"),
-                route=route.name if route else "",
-                verb=statement.verb.value,
-                outcome=outcome,
-                detail=reply.detail.decode(errors="replace"),
-                target=reply.target,
-                attempts=reply.attempts,
-                took_ms=round(duration * 1000, 1),
-                catalog_version=self.catalog_version,
-            )
-        elif reply.target:
-            _STATEMENT_LOG.info(
-                "statement",
-                request=statement.request_id.decode(errors="replace"),
-                route=route.name if route else "",
-                verb=statement.verb.value,
-                target=reply.target,
-                attempts=reply.attempts,
-                position=str(reply.position),
-                took_ms=round(duration * 1000, 1),
-                catalog_version=self.catalog_version,
-            )
-
     def _targets(self) -> list[Target]:
         return [target for group in self._groups.values() for target in group.targets.values()]
 
--- a/tests/proxy/test_deployment.py
+++ b/tests/proxy/test_deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import time
 from pathlib import Path
 
 import gevent
@@ -166,3 +167,30 @@
     path = "docs/examples/proxy-boot.toml"
     process = processes.start("example", "siskindale.proxy", ["check-settings", path])
     assert process.popen.wait(PATIENCE_S) == ExitStatus.SUCCESS
+
+
+def test_bounded_reads_go_on_while_the_primary_is_lost(deployment: Deployment) -> None:
+    """Guards against reads that wait for a lost primary although replicas have what they need."""
+    proxy = deployment.start_proxy()
+    writer, reader = proxy.client(), proxy.client("bounded")
+    assert writer.query("WRITE item 1").error is None
+    deployment.platform.faults.lose_promotions = 100
+    deployment.platform.faults.late_s = PATIENCE_S
+    eventually(lambda: reader.query("READ item").rows == (b"1",), "replicas have the commit")
+    deployment.group.primary.crash()
+    assert reader.query("READ item").error is None
+    assert deployment.group.executions[-1].target != "t0"
+
+
+def test_a_transaction_is_refused_within_the_time_of_a_statement(deployment: Deployment) -> None:
+    """Guards against a first statement that waits twice: for the early start and for another."""
+    client = deployment.start_proxy().client()
+    deployment.platform.faults.lose_promotions = 100
+    deployment.platform.faults.late_s = PATIENCE_S
+    assert client.query("READ item").error is None
+    deployment.group.primary.crash()
+    assert client.query("BEGIN").error is None
+    started = time.monotonic()
+    assert client.query("READ item").error == b"BUSY"
+    assert time.monotonic() - started < 2 * 3.0
+    assert client.query("ROLLBACK").state == b"I"
