Let reads go on at replicas while the primary is lost or full

Cause: found by a test of a lost primary. A read whose connection to the primary broke was then sent to the primary only; a read that both replicas refused for lag waited for the lost primary until its deadline; a read queued behind statements that only the primary can run although a replica was idle. Change: only a primary that itself lacks a position makes a read give it up; a read that some targets could not serve is looked at again after 0.1 s; reads overtake what waits for the primary alone. A write that ran after a failed preparation ends as unknown and is not repeated.

--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -1,5 +1,6 @@
 """Watching of primaries and ordering of promotions."""
 
+import attrs
 import gevent
 
 from siskindale.membership.rendezvous import score
@@ -37,22 +38,26 @@
 ORPHANED_DUTY_S = 4.0
 
 
+@attrs.define(eq=False)
 class GroupWatch:
-    """State of the watch of one group."""
-
-    def __init__(self, group: Group) -> None:
-        self.group = group
-        self.searched_at = 0.0
-        self.probed_at = 0.0
-        self.maintained_at = 0.0
-        self.absent_since: float | None = None
-        self.reason_since: float | None = None
-        self.probing: set[str] = set()
-        self.replacing = False
-        self.ordered = ""
-        self.ordered_at = 0.0
-        self.acted_at = 0.0
-        self.unsettled: UnsettledCall | None = None
+    """State of the watch of one group.
+
+    `absent_since` and `reason_since` tell since when no primary is known and since when it should
+    be replaced; `acted_at` when a peer last ordered a promotion.
+    """
+
+    group: Group
+    searched_at: float = 0.0
+    probed_at: float = 0.0
+    maintained_at: float = 0.0
+    absent_since: float | None = None
+    reason_since: float | None = None
+    probing: set[str] = attrs.field(factory=set)
+    replacing: bool = False
+    ordered: str = ""
+    ordered_at: float = 0.0
+    acted_at: float = 0.0
+    unsettled: UnsettledCall | None = None
 
 
 class Failover:
@@ -120,9 +125,8 @@
             return
         if self._duty.token is not None:
             return
-        own_earlier_start = self._duty.holder == self._settings.vm
-        if not self._duty.holder or own_earlier_start:
-            self._duty.take("vacant")
+        if self._duty.holder in ("", self._settings.vm):
+            self._duty.take("held by an earlier start" if self._duty.holder else "vacant")
             return
         now = self._pool.now()
         live = {peer.vm for peer in self._peers.live() if not peer.draining}
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -62,10 +62,9 @@
     ) -> TargetConnection | None:
         """Returns an idle connection that fits, None if there is none until the deadline."""
         waiter = Waiter(need, set(excluded), self.now(), AsyncResult())
-        if not self._ahead(group, waiter):
-            connection = self._take(group, waiter)
-            if connection is not None:
-                return connection
+        connection = self._overtake(group, waiter)
+        if connection is not None:
+            return connection
         group.waiters.append(waiter)
         try:
             self._open_for(group, waiter)
@@ -168,30 +167,34 @@
         removed, target.idle[:] = target.idle[:count], target.idle[count:]
         return removed
 
-    def _ahead(self, group: Group, waiter: Waiter) -> bool:
-        return any(w.need.priority <= waiter.need.priority for w in group.waiters)
+    def _overtake(self, group: Group, waiter: Waiter) -> TargetConnection | None:
+        """Returns a connection at once, unless others wait for what the statement would take."""
+        rule = waiting.overtaking(group.waiters, waiter.need)
+        if not rule.allowed:
+            return None
+        found = self._candidates(group, waiter)
+        if rule.not_primary:
+            found = [target for target in found if target is not group.primary]
+        return next(filter(None, map(self.take_idle, found)), None)
 
     def _take(self, group: Group, waiter: Waiter) -> TargetConnection | None:
-        found = placement.candidates(
+        found = self._candidates(group, waiter)
+        return next(filter(None, map(self.take_idle, found)), None)
+
+    def _candidates(self, group: Group, waiter: Waiter) -> list[Target]:
+        settings = self._settings
+        return placement.candidates(
             group,
             waiter.need,
             waiter.excluded,
-            self._settings.failure_domain,
+            settings.failure_domain,
             self.now(),
-            self._settings.drain_s,
+            settings.drain_s,
         )
-        return next(filter(None, map(self.take_idle, found)), None)
 
     def _open_for(self, group: Group, waiter: Waiter) -> None:
         now = self.now()
-        found = placement.candidates(
-            group,
-            waiter.need,
-            waiter.excluded,
-            self._settings.failure_domain,
-            now,
-            self._settings.drain_s,
-        )
+        found = self._candidates(group, waiter)
         openable = [t for t in found if connections.may_open(t, group, self._vms(), now)]
         if openable and sum(t.opening for t in found) < len(group.waiters):
             self._start_opening(group, openable[0])
--- a/siskindale/proxy/routing.py
+++ b/siskindale/proxy/routing.py
@@ -6,7 +6,7 @@
 
 from siskindale.models.catalog import Consistency, Route
 from siskindale.models.group import LogPosition
-from siskindale.models.statements import Access, Statement, Verb
+from siskindale.models.statements import Access, ErrorCode, Statement, Verb
 from siskindale.platform import wire
 from siskindale.proxy.connection import ReplyTimeoutError, TargetConnection, encode_step
 from siskindale.proxy.decisions import leadership
@@ -17,8 +17,8 @@
 
 # An overloaded target is asked again after this time.
 RETRY_PAUSE_S = 0.01
-# A peer answers within a round trip; then the read looks again for a target.
-SAMPLE_WAIT_S = 0.1
+# Peers answer and replicas catch up within a few round trips.
+RECONSIDER_S = 0.1
 # Replicas are about this far behind their primary.
 CATCH_UP_PAUSE_S = 0.02
 
@@ -54,11 +54,13 @@
         minimum: LogPosition | None,
         access: Access,
         deadline: float,
+        excluded: set[str],
     ) -> Need:
         """Returns what a statement needs.
 
-        A read that only lacks a sample asks peers for one and waits for the primary meanwhile, but
-        only as long as an answer takes.
+        A read that lacks a sample asks peers for one. Such a read, and one that some targets could
+        not serve, waits only for a while and is then looked at again: a sample may have come, a
+        replica may have caught up, or the primary may be lost.
         """
         lacks_sample = (
             minimum is None
@@ -67,7 +69,8 @@
         )
         if lacks_sample:
             self._request_sample(group.name)
-            deadline = min(deadline, self._pool.now() + SAMPLE_WAIT_S)
+        if lacks_sample or excluded:
+            deadline = min(deadline, self._pool.now() + RECONSIDER_S)
         return Need(minimum, route.priority, deadline, minimum is None)
 
     def note_demoted(self, group: Group, connection: TargetConnection) -> None:
@@ -75,6 +78,12 @@
         if leadership.note_not_primary(group, connection.target, self._pool.now()):
             logger().info("primary-demoted", group=group.name, target=connection.target.id)
 
+    @staticmethod
+    def lacks_position(group: Group, connection: TargetConnection, error: ErrorCode | None) -> bool:
+        """Tells whether the primary itself lacked the position that a read needs."""
+        is_primary = connection.target is group.primary
+        return is_primary and error is ErrorCode.LAGGING
+
     def allow_all_again(self, group: Group, excluded: set[str]) -> None:
         """Forgets exclusions once they leave no target that can be reached.
 
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -38,10 +38,6 @@
         """Starts accepting."""
         self._server.start()
 
-    def stop_accepting(self) -> None:
-        """Closes the listening socket; open sessions go on."""
-        self._server.close()
-
     def _serve(self, sock: socket.socket, _: Any) -> None:
         session = ClientSession(sock, self._state, self._runners)
         self._sessions.add(session)
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -65,8 +65,6 @@
         self._position: LogPosition | None = None
         self._transaction: Transaction | None = None
         self._phase = Phase.STARTING
-        self._last_reply_at = 0.0
-        self._stopping = False
 
     @property
     def idle(self) -> bool:
@@ -102,7 +100,6 @@
         """Closes the session if nothing is outstanding; returns whether it did."""
         if not self.idle:
             return False
-        self._stopping = True
         self._socket.shutdown(system_socket.SHUT_RDWR)
         return True
 
@@ -170,7 +167,6 @@
 
     def _next_line(self) -> bytes | None:
         self._phase = Phase.WAITING
-        self._last_reply_at = self._state.now()
         try:
             return self._read_line()
         finally:
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -27,7 +27,11 @@
 
 @attrs.define
 class Operation:
-    """A statement that runs outside a transaction."""
+    """A statement that runs outside a transaction.
+
+    `position_rolled_back` is set once the primary itself lacked the position that a read needs: a
+    promotion has rolled it back, and the primary can serve the read without it.
+    """
 
     statement: Statement
     route: Route
@@ -37,6 +41,7 @@
     session_position: LogPosition | None
     excluded: set[str] = attrs.field(factory=set)
     attempts: int = 0
+    position_rolled_back: bool = False
 
     @property
     def deadline(self) -> float:
@@ -64,6 +69,7 @@
             connection = self._pool.acquire(operation.group, need, operation.excluded)
             if connection is None:
                 if self._pool.now() < operation.deadline:
+                    self._router.allow_all_again(operation.group, operation.excluded)
                     continue
                 return self._refused(operation, last_error)
             operation.attempts += 1
@@ -83,11 +89,18 @@
                 operation.session_position,
                 operation.arrived,
             )
-        if operation.group.leadership.target in operation.excluded:
-            operation.excluded.clear()
+        if operation.position_rolled_back:
             minimum = None
+        if minimum is None:
+            # There is no other target to go to.
+            operation.excluded.clear()
         return self._router.need_of(
-            operation.group, operation.route, minimum, operation.access, operation.deadline
+            operation.group,
+            operation.route,
+            minimum,
+            operation.access,
+            operation.deadline,
+            operation.excluded,
         )
 
     def _refused(self, operation: Operation, error: ErrorCode) -> Reply:
@@ -151,9 +164,12 @@
         if proof:
             connection.receive(limit - self._pool.now())
         failed = next((r for r in replies[:-1] if r.error is not None), None)
-        if failed is not None:
-            return self._unprepared(connection, failed, proof)
-        return replies[-1]
+        if failed is None:
+            return replies[-1]
+        if operation.access is Access.WRITE and replies[-1].error is None:
+            # The write ran, but not with the values of its session; it must not be repeated.
+            return Reply(error=ErrorCode.OUTCOME_UNKNOWN, detail=b"preparation failed")
+        return self._unprepared(connection, failed, proof)
 
     def _unprepared(self, connection: TargetConnection, failed: Reply, proof: bool) -> Reply:
         """Returns the reply of a failed step before a read; values are then unknown."""
@@ -227,6 +243,8 @@
         metrics.RETRIES.labels(error.value if error else "connection").inc()
         if decision.step is Step.RETRY_DEMOTED:
             self._router.note_demoted(operation.group, connection)
+        elif self._router.lacks_position(operation.group, connection, error):
+            operation.position_rolled_back = True
         elif decision.step is Step.RETRY_ELSEWHERE:
             operation.excluded.add(connection.target.id)
             self._router.allow_all_again(operation.group, operation.excluded)
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -96,20 +96,25 @@
         """Starts a transaction on a target; returns None on success, else the error."""
         route = transaction.route
         excluded: set[str] = set()
+        position_rolled_back = False
         while True:
             minimum = None
             if transaction.read_only:
                 minimum = required_position(
                     route, transaction.group.freshness, session_position, transaction.arrived
                 )
-            if transaction.group.leadership.target in excluded:
-                excluded.clear()
+            if position_rolled_back:
                 minimum = None
+            if minimum is None:
+                excluded.clear()
             access = Access.READ if transaction.read_only else Access.WRITE
-            need = self._router.need_of(transaction.group, route, minimum, access, deadline)
+            need = self._router.need_of(
+                transaction.group, route, minimum, access, deadline, excluded
+            )
             connection = self._pool.acquire(transaction.group, need, excluded)
             if connection is None:
                 if self._pool.now() < deadline:
+                    self._router.allow_all_again(transaction.group, excluded)
                     continue
                 logger().info(
                     "transaction-refused",
@@ -127,6 +132,8 @@
                 self._router.note_demoted(transaction.group, connection)
             elif error is ErrorCode.OVERLOADED:
                 gevent.sleep(RETRY_PAUSE_S)
+            elif self._router.lacks_position(transaction.group, connection, error):
+                position_rolled_back = True
             else:
                 excluded.add(connection.target.id)
                 self._router.allow_all_again(transaction.group, excluded)
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -180,3 +180,16 @@
     client.send(b"\r\nQUERY x2 READ item\r\n")
     assert client.answer().error is None
     assert client.answer().rows == (b"1",)
+
+
+def test_a_position_that_a_promotion_rolled_back_is_not_waited_for(
+    deployment: Deployment,
+) -> None:
+    """Guards against a session that can read no more after its last commit was rolled back."""
+    deployment.group.lag_s = 60.0
+    client = deployment.start_proxy().client("own")
+    assert client.query("WRITE item 1").error is None
+    deployment.group.promote("t1")
+    assert client.query("READ item").rows == ()
+    assert client.query("WRITE item 2").error is None
+    assert client.query("READ item").rows == (b"2",)
