--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,5 +1,6 @@
 """Starts programs and stand-ins as child processes and always ends them."""
 
+import contextlib
 import ctypes
 import os
 import signal
@@ -7,7 +8,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 from types import TracebackType
 
@@ -65,9 +66,23 @@
         gevent.sleep(READY_POLL_S)
 
 
+_INTERRUPTS = (signal.SIGINT, signal.SIGTERM)
+
+
 def _die_with_parent() -> None:
     # A child outlives a parent that was killed, unless the kernel ends it.
     ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, _INTERRUPTS)
+
+
+@contextlib.contextmanager
+def _interrupts_blocked() -> Iterator[None]:
+    """Delays SIGINT and SIGTERM: Python ignores what a handler raises in a hook of fork."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, _INTERRUPTS)
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
 
 
 @attrs.define
@@ -174,7 +189,7 @@
         return "\n".join(self._processes[name].log.read_text().splitlines()[-20:])
 
     def _spawn(self, command: tuple[str, ...], log: Path) -> "subprocess.Popen[bytes]":
-        with log.open("ab") as output:
+        with log.open("ab") as output, _interrupts_blocked():
             return subprocess.Popen(
                 command,
                 cwd=ROOT,
