Keep early log lines only where they are deferred, and build tables of tests ahead

Log lines that other tests wrote without a configuration were kept and came out in a test of the log; Hypothesis builds its tables of characters with the first text, 10 s to 34 s in a fresh clone, which its check of slow examples refused. Change: only a program that calls defer keeps lines; a session fixture builds the tables first.

--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -144,6 +144,7 @@
 
 def run(settings: ProxySettings, env: Environment, load: Load) -> ExitStatus:
     """Runs the session proxy until it is stopped; `load` reads its settings again."""
+    logs.defer()
     stream = BoundedStream(env.stdout.fileno(), env.clock.monotonic)
 
     def configure_logs() -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 import pytest
-from hypothesis import settings
+from hypothesis import find, settings
+from hypothesis.strategies import text
 
 import siskindale.store.http
 import siskindale.targets.http  # noqa: F401
@@ -22,6 +23,15 @@
 settings.load_profile(os.environ.get("SISKINDALE_PROFILE", "fixed"))
 
 
+@pytest.fixture(scope="session")
+def unicode_tables() -> None:
+    """Builds Hypothesis' tables of characters, which takes 10 s and more in a fresh clone.
+
+    Within a test that time would count as slow generation of its examples.
+    """
+    find(text(), lambda _: True)
+
+
 @pytest.fixture
 def processes(tmp_path: Path) -> Iterator[Processes]:
     """Starter of child processes."""
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -24,6 +24,26 @@
     return stream.getvalue().partition(" ")[2]
 
 
+def test_deferred_lines_are_written_with_the_configuration() -> None:
+    """Guards against lines of the start that are lost, or kept where nobody deferred them."""
+    stream = io.StringIO()
+    logs.defer()
+    logs.logger(vm="vm1").info("early")
+    logs.configure("info", stream)
+    try:
+        logs.logger().info("later")
+    finally:
+        structlog.reset_defaults()
+    early, later = stream.getvalue().splitlines()
+    assert "event=early vm=vm1 waited_ms=" in early
+    assert later.endswith("event=later")
+    logs.logger().info("not deferred")
+    logs.configure("info", stream)
+    structlog.reset_defaults()
+    assert "not deferred" not in stream.getvalue()
+
+
+@pytest.mark.usefixtures("unicode_tables")
 @given(st.dictionaries(st.sampled_from(["caller", "pool", "outcome"]), VALUES))
 def test_fast_and_general_renderer_agree(fields: dict[str, Any]) -> None:
     """Guards against values that forge fields or lines of the log."""
