--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -8,6 +8,7 @@
 from bench.processes import Processes, free_ports, wait_until
 from siskindale.models.bundle import Target, TargetState
 from siskindale.models.group import LogPosition, Role
+from siskindale.runtime import counters
 from siskindale.store.interface import Condition, Platform, PlatformFailure, Write
 from siskindale.targets.http import HttpTargets
 from siskindale.targets.interface import Begin, Commit, Statement, TargetFailure
@@ -110,6 +111,7 @@
     platform_standin: PlatformStandin, platform: Platform
 ) -> None:
     """Guards against 770 names in each poll, and against an old view after a change."""
+    counters.expose()
     for names in ({"vm1"}, {"vm1", "vm2"}):
         platform_standin.set_live(sorted(names))
         before = received()
