--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -208,17 +208,7 @@
     def _add(self, group: Group, entry: TargetEntry, source: str) -> None:
         target = Target(entry)
         group.targets[entry.id] = target
-        self._changed[entry.id] = self._raw_targets[entry.id]
-        self._note_draining(target)
-        logger().info(
-            "target-added",
-            group=group.name,
-            target=entry.id,
-            state=entry.state.value,
-            role=entry.role.value,
-            source=source,
-        )
-        self._pool.maintain(group)
+        self._note_change(group, target, "target-added", source)
 
     def _update(self, group: Group, target: Target, entry: TargetEntry, source: str) -> None:
         if entry.started_ms != target.entry.started_ms or entry.address != target.entry.address:
@@ -229,17 +219,22 @@
         target.entry = entry
         target.missing_since = None
         if changed:
-            self._changed[entry.id] = self._raw_targets[entry.id]
-            self._note_draining(target)
-            logger().info(
-                "target-changed",
-                group=group.name,
-                target=entry.id,
-                state=entry.state.value,
-                role=entry.role.value,
-                source=source,
-            )
-            self._pool.maintain(group)
+            self._note_change(group, target, "target-changed", source)
+
+    def _note_change(self, group: Group, target: Target, event: str, source: str) -> None:
+        """Notes what follows from a new state or role of a target, and logs it as `event`."""
+        entry = target.entry
+        self._changed[entry.id] = self._raw_targets[entry.id]
+        self._note_draining(target)
+        logger().info(
+            event,
+            group=group.name,
+            target=entry.id,
+            state=entry.state.value,
+            role=entry.role.value,
+            source=source,
+        )
+        self._pool.maintain(group)
 
     def _note_draining(self, target: Target) -> None:
         if target.entry.state is TargetState.DRAINING:
