Take settings of the session proxy in its own names, from a template

Cause: the proxy read the platform's TOML file; a parser, pathlib and the names of the file stood in the product, against the house style (settings in JSON with comments), and their imports took part of each start. Change: deploy/settings.json is filled in by the platform; proxy/settings.py reads plain JSON fast and JSON with comments by the general loader.

--- a/siskindale/proxy/commands.py
+++ b/siskindale/proxy/commands.py
@@ -9,8 +9,8 @@
 
 from siskindale.context import Environment
 from siskindale.exits import ExitStatus
-from siskindale.platform.settings import load_settings
 from siskindale.proxy import core
+from siskindale.proxy.settings import load_settings
 from siskindale.proxy.status import read_status
 from siskindale.runtime.commands import SettingsOption, VersionOption, invoke, print_errors
 
@@ -18,9 +18,9 @@
 Serve client sessions on this VM.
 
 \b
-  siskindale-proxy --settings boot.toml
-  siskindale-proxy check-settings boot.toml
-  siskindale-proxy status boot.toml --json
+  siskindale-proxy --settings proxy.json
+  siskindale-proxy check-settings proxy.json
+  siskindale-proxy status proxy.json --json
 
 Without options, the settings file is the one that SISKINDALE_SETTINGS names.
 """
--- a/siskindale/proxy/core.py
+++ b/siskindale/proxy/core.py
@@ -3,13 +3,13 @@
 import os
 import signal
 from collections.abc import Sequence
-from pathlib import Path
+from os import PathLike
 
 from returns.result import Failure
 
 from siskindale.context import Environment
 from siskindale.exits import ExitStatus
-from siskindale.platform.settings import SETTINGS_VARIABLE, load_settings
+from siskindale.proxy.settings import SETTINGS_VARIABLE, load_settings
 
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
@@ -22,10 +22,10 @@
         from siskindale.proxy import commands
 
         return commands.main(args, env)
-    return serve(Path(os.environ.get(SETTINGS_VARIABLE, "")), env)
+    return serve(os.environ.get(SETTINGS_VARIABLE, ""), env)
 
 
-def serve(path: Path, env: Environment) -> ExitStatus:
+def serve(path: str | PathLike[str], env: Environment) -> ExitStatus:
     """Runs the session proxy with a settings file until it has drained."""
     from siskindale.proxy import program
 
--- a/siskindale/proxy/duty.py
+++ b/siskindale/proxy/duty.py
@@ -1,6 +1,6 @@
 """The failover duty: one VM at a time may order promotions, under a fencing token."""
 
-import uuid
+import os
 
 from returns.result import Failure
 
@@ -18,7 +18,7 @@
 
     def __init__(self, settings: ProxySettings, tables: WatchedTables) -> None:
         self._vm = settings.vm
-        self._boot = uuid.uuid4().hex
+        self._boot = os.urandom(16).hex()
         self._tables = tables
         self._holder = ""
         self._holder_boot = ""
--- a/tests/proxy/deployment.py
+++ b/tests/proxy/deployment.py
@@ -1,6 +1,7 @@
 """A deployment on loopback: the stand-in of the platform, one group, and proxies as processes."""
 
 import itertools
+import json
 from pathlib import Path
 from typing import Any
 
@@ -147,28 +148,25 @@
 
     def path(self, name: str) -> Path:
         """Path of a proxy's settings."""
-        return self._directory / f"{name}.toml"
+        return self._directory / f"{name}.json"
 
     def settings_file(self, name: str) -> tuple[Path, Address, Address]:
         """Writes the settings of a proxy; returns them and the addresses for clients and probes."""
         clients, readiness, peers = free_ports(3, next(self._hosts))
         path = self.path(name)
-        path.write_text(f"""
-node = "{name}"
-zone = "t0"
-seeds = ["{peers}"]
-[listen]
-front = "{clients}"
-readiness_addr = "{readiness}"
-control = "{peers}"
-[bounds]
-drain_ms = 7000
-grace_s = 4
-[platform]
-address = "{self.platform.server.address[0]}:{self.platform.server.address[1]}"
-[cloud]
-address = "{self.platform.server.address[0]}:{self.platform.server.address[1]}"
-""")
+        platform = "{}:{}".format(*self.platform.server.address)
+        settings = {
+            "vm": name,
+            "failure_domain": "t0",
+            "clients": str(clients),
+            "readiness": str(readiness),
+            "peers": str(peers),
+            "store": platform,
+            "promotions": platform,
+            "seeds": [str(peers)],
+            "grace_s": 4,
+        }
+        path.write_text(json.dumps(settings, indent=1))
         return path, clients, readiness
 
     def start_proxy(self, name: str = "vm1", ready: bool = True) -> "Proxy":
--- a/tests/proxy/test_deployment.py
+++ b/tests/proxy/test_deployment.py
@@ -117,8 +117,9 @@
     first = deployment.start_proxy("vm1")
     deployment.platform.faults.down = True
     path, clients, readiness = deployment.settings_file("vm2")
-    seeds = (path.parent / "vm1.toml").read_text().split("control = ")[1].splitlines()[0]
-    path.write_text(path.read_text().replace("seeds = [", f"seeds = [{seeds}, "))
+    first_peers = json.loads(deployment.path("vm1").read_text())["peers"]
+    settings = json.loads(path.read_text())
+    path.write_text(json.dumps({**settings, "seeds": [first_peers, *settings["seeds"]]}))
     second = deployment.start_with("vm2", path, clients, readiness)
     eventually(lambda: second.ready, "the second proxy knows the configuration")
     assert second.client().query("READ item").error is None
@@ -127,12 +128,12 @@
 
 def test_a_wrong_settings_file_gives_every_finding(tmp_path: Path, processes: Processes) -> None:
     """Guards against settings that are mended one fault a start."""
-    path = tmp_path / "boot.toml"
-    path.write_text('node = 7\nseeds = ["x"]\n[listen]\nfront = "127.0.0.1"\n')
+    path = tmp_path / "proxy.json"
+    path.write_text('{"vm": 7, "seeds": ["x"], "clients": "127.0.0.1", "drian_ms": 7000}')
     process = processes.start("check", "siskindale.proxy", ["check-settings", str(path)])
     assert process.popen.wait(PATIENCE_S) == ExitStatus.INVALID_INPUT
     log = process.log.read_text()
-    for place in ("$.node", "$.zone", "$.seeds[0]", "$.listen.front", "$.platform.address"):
+    for place in ("$.vm", "$.failure_domain", "$.seeds[0]", "$.clients", "$.store", "$.drian_ms"):
         assert place in log
 
 
@@ -153,10 +154,10 @@
     """Guards against a reload that stops the proxy or takes a broken file into use."""
     proxy = deployment.start_proxy()
     path = deployment.path("vm1")
-    path.write_text(path.read_text().replace("grace_s = 4", "grace_s = 3"))
+    path.write_text(path.read_text().replace('"grace_s": 4', '"grace_s": 3'))
     proxy.process.signal(signal.SIGHUP)
     eventually(lambda: "changed=grace_s" in proxy.log, "the change is logged")
-    path.write_text("node = 7")
+    path.write_text('{"vm": 7}')
     proxy.process.signal(signal.SIGHUP)
     eventually(lambda: "settings-invalid" in proxy.log, "the findings are logged")
     assert proxy.client().query("READ item").error is None
@@ -164,7 +165,7 @@
 
 def test_the_example_settings_have_no_findings(processes: Processes) -> None:
     """Guards against an example that no proxy would start with."""
-    path = "docs/examples/proxy-boot.toml"
+    path = "docs/examples/proxy.json"
     process = processes.start("example", "siskindale.proxy", ["check-settings", path])
     assert process.popen.wait(PATIENCE_S) == ExitStatus.SUCCESS
 
