--- a/siskindale/proxy/settings.py
+++ b/siskindale/proxy/settings.py
@@ -35,7 +35,8 @@
 
 def _read(path: str | PathLike[str]) -> Result[Any, Findings]:
     try:
-        with open(path, encoding="utf-8") as file:
+        # Importing pathlib would take some milliseconds of the start.
+        with open(path, encoding="utf-8") as file:  # noqa: PTH123
             text = file.read()
     except (OSError, UnicodeDecodeError) as error:
         return Failure((Finding(str(path), str(error)),))
