--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,8 @@
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements.lock
 	$(BIN)/pip install --quiet --no-deps --editable .
+	# Test processes start from bytecode also where writing it is switched off.
+	$(BIN)/python -m compileall -q siskindale bench standins
 	touch $(STAMP)
 
 format: setup
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -11,7 +11,6 @@
 from siskindale.proxy import metrics
 from siskindale.proxy.session import ClientSession, Runners
 from siskindale.proxy.state import ProxyState
-from siskindale.runtime import counters
 from siskindale.transport.http_server import Response, http_server
 
 ACCEPT_BACKLOG = 1024
@@ -60,8 +59,7 @@
 
 
 def _metrics() -> Response:
-    # Imported with the first request, because it would delay the start.
-    from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+    # Imported with the first request, because the metrics library would delay the start.
+    from siskindale.runtime.health import metrics_page
 
-    counters.expose()
-    return Response(200, generate_latest(), CONTENT_TYPE_LATEST)
+    return metrics_page()
--- a/siskindale/runtime/health.py
+++ b/siskindale/runtime/health.py
@@ -1,66 +1,48 @@
 """Health server of a program: `/healthz`, `/readyz`, `/metrics` and reports for operators."""
 
+import json
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-import falcon
 import prometheus_client
-from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 
 from siskindale.models.address import Address
 from siskindale.runtime import counters
+from siskindale.transport.http_server import Response, http_server
+
+METRICS_PATH = "/metrics"
 
 Readiness = Callable[[], Sequence[str]]
 Report = Callable[[], Mapping[str, Any]]
 
 
-class _Health:
-    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        response.media = {"status": "ok"}
-
-
-class _Ready:
-    def __init__(self, readiness: Readiness) -> None:
-        self._readiness = readiness
-
-    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        reasons = list(self._readiness())
-        response.status = falcon.HTTP_503 if reasons else falcon.HTTP_200
-        response.media = {"ready": not reasons, "reasons": reasons}
-
-
-class _Metrics:
-    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
-        self._registry = registry
+def health_server(
+    address: Address, readiness: Readiness, reports: Mapping[str, Report] | None = None
+) -> StreamServer:
+    """Returns a server that is not started; `readiness` lists why the program is not ready.
 
-    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        response.content_type = prometheus_client.CONTENT_TYPE_LATEST
-        response.data = prometheus_client.generate_latest(self._registry)
+    `reports` are JSON documents by path.
+    """
+    pages = {
+        "/healthz": lambda: _document({"status": "ok"}),
+        "/readyz": lambda: _ready(readiness()),
+        METRICS_PATH: metrics_page,
+    }
+    for path, report in (reports or {}).items():
+        pages[path] = lambda report=report: _document(report())  # type: ignore[misc]
+    return http_server(address, pages)
 
 
-class _Report:
-    def __init__(self, report: Report) -> None:
-        self._report = report
+def _ready(reasons: Sequence[str]) -> Response:
+    return _document({"ready": not reasons, "reasons": list(reasons)}, 503 if reasons else 200)
 
-    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        response.media = dict(self._report())
 
+def metrics_page() -> Response:
+    """Returns the metrics of this process."""
+    counters.expose()
+    return Response(200, prometheus_client.generate_latest(), prometheus_client.CONTENT_TYPE_LATEST)
 
-def health_server(
-    address: Address,
-    readiness: Readiness,
-    registry: prometheus_client.CollectorRegistry = prometheus_client.REGISTRY,
-    reports: Mapping[str, Report] | None = None,
-) -> WSGIServer:
-    """Returns a server that is not started; `readiness` lists why the program is not ready.
 
-    `reports` are JSON documents by path.
-    """
-    counters.expose()
-    app: falcon.App = falcon.App()
-    app.add_route("/healthz", _Health())
-    app.add_route("/readyz", _Ready(readiness))
-    app.add_route("/metrics", _Metrics(registry))
-    for path, report in (reports or {}).items():
-        app.add_route(path, _Report(report))
-    return WSGIServer((address.host, address.port), app, log=None, error_log=None)
+def _document(document: Mapping[str, Any], status: int = 200) -> Response:
+    return Response(status, json.dumps(dict(document)).encode(), "application/json")
--- a/siskindale/runtime/program.py
+++ b/siskindale/runtime/program.py
@@ -8,7 +8,7 @@
 import attrs
 import gevent
 import pynng
-from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 
 import siskindale.store.http  # noqa: F401 - registers the driver
 from siskindale.context import Environment
@@ -207,7 +207,7 @@
     return ExitStatus.SUCCESS
 
 
-def _start(parts: Parts, service: Service, health: WSGIServer) -> None:
+def _start(parts: Parts, service: Service, health: StreamServer) -> None:
     parts.shutdown.install()
     parts.mailbox.on(AliveRequest, lambda delivery: answer_alive(parts.mailbox, delivery))
     health.start()
@@ -226,7 +226,7 @@
         DirectoryClient(parts.directory, parts.mailbox, parts.env.clock).start()
 
 
-def _stop(parts: Parts, service: Service, health: WSGIServer) -> None:
+def _stop(parts: Parts, service: Service, health: StreamServer) -> None:
     logs.logger().info("drain-started")
     notify_drain(parts)
     service.drain()
