Pass over replicas that lacked what a read needs, until they may have it

Change: decisions/lag.py remembers the position that a replica lacked for as long as its log is behind (20 to 500 ms), unless no other target is left.

--- a/siskindale/proxy/decisions/placement.py
+++ b/siskindale/proxy/decisions/placement.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 
+from siskindale.proxy.decisions import lag
 from siskindale.proxy.tables import INITIAL_LATENCY_S, Group, Need, Target
 
 # A round trip to another failure domain takes 3 ms and its bytes are dear, so a statement waits in
@@ -26,13 +27,17 @@
 def candidates(
     group: Group, need: Need, excluded: Iterable[str], own_domain: str, now: float, drain_s: float
 ) -> list[Target]:
-    """Returns the targets that may run a statement, best first."""
+    """Returns the targets that may run a statement, best first.
+
+    Replicas that lacked what the statement needs are left out while there is any other target.
+    """
     fit = [
         target
         for target in group.targets.values()
         if target.id not in excluded and _fits(group, target, need, now, drain_s)
     ]
-    return sorted(fit, key=lambda target: _cost(group, target, own_domain, now))
+    current = [target for target in fit if lag.may_serve(group, target, need.minimum, now)]
+    return sorted(current or fit, key=lambda target: _cost(group, target, own_domain, now))
 
 
 def _fits(group: Group, target: Target, need: Need, now: float, drain_s: float) -> bool:
--- a/siskindale/proxy/routing.py
+++ b/siskindale/proxy/routing.py
@@ -9,7 +9,7 @@
 from siskindale.models.statements import Access, ErrorCode, Statement, Verb
 from siskindale.platform import wire
 from siskindale.proxy.connection import ReplyTimeoutError, TargetConnection, encode_step
-from siskindale.proxy.decisions import leadership
+from siskindale.proxy.decisions import lag, leadership
 from siskindale.proxy.decisions.session_state import SessionValues, preparation, shared_name
 from siskindale.proxy.pool import ConnectionPool
 from siskindale.proxy.tables import Group, Need
@@ -78,6 +78,17 @@
         if leadership.note_not_primary(group, connection.target, self._pool.now()):
             logger().info("primary-demoted", group=group.name, target=connection.target.id)
 
+    def note_lagging(
+        self,
+        group: Group,
+        connection: TargetConnection,
+        minimum: LogPosition | None,
+        held: LogPosition | None,
+    ) -> None:
+        """Records that a target's log, which ended at `held`, lacked what a read needs."""
+        if minimum is not None:
+            lag.note_lagging(connection.target, group.freshness, minimum, held, self._pool.now())
+
     @staticmethod
     def lacks_position(group: Group, connection: TargetConnection, error: ErrorCode | None) -> bool:
         """Tells whether the primary itself lacked the position that a read needs."""
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -130,6 +130,8 @@
         except BROKEN as error:
             return self._broken(operation, connection, error, started)
         self._note_reply(operation, connection, reply, started, proof)
+        if reply.error is ErrorCode.LAGGING:
+            self._router.note_lagging(operation.group, connection, need.minimum, reply.position)
         self._pool.release(operation.group, connection)
         if reply.error is None:
             reply.state = SessionState.IDLE
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -26,7 +26,8 @@
     `draining_since` is when the target was last known not to leave, `missing_since` when this VM
     learned that its registration is gone. `full_at` is when the target last refused a connection
     for lack of room, `silent_since` since when statements wait without any reply, `yield_until`
-    until when this VM leaves connections to a VM that has none.
+    until when this VM leaves connections to a VM that has none. Until `lacks_until`, the log is
+    taken to lack the position `lacks`, for which the target refused a read.
     """
 
     entry: TargetEntry
@@ -41,6 +42,8 @@
     next_open_at: float = 0.0
     full_at: float | None = None
     yield_until: float = 0.0
+    lacks: LogPosition | None = None
+    lacks_until: float = 0.0
     draining_since: float | None = None
     missing_since: float | None = None
     refused: bool = False
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -174,6 +174,8 @@
             return None
         if failed is not replies[-1]:
             connection.state = SessionState.FAILED
+        elif failed.error is ErrorCode.LAGGING:
+            self._router.note_lagging(transaction.group, connection, need.minimum, failed.position)
         self._end_failed(transaction.group, connection)
         return failed.error
 
