Listen for clients before the libraries are imported, and keep signals of that time

SIGTERM in that time was ignored, so the proxy went on and would have been killed with its sessions. Change: proxy/listening.py opens the socket with what the interpreter has; the backlog holds the clients. Stop signals are blocked, not ignored, until they are handled; commands such as check-settings can be interrupted again.

--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -3,6 +3,7 @@
 import gc
 import os
 import signal
+import socket
 from collections.abc import Callable
 from typing import TextIO, cast
 
@@ -44,7 +45,7 @@
 class ProxyProgram:
     """All parts of the session proxy of one VM."""
 
-    def __init__(self, settings: ProxySettings, load: Load) -> None:
+    def __init__(self, settings: ProxySettings, load: Load, listener: socket.socket | None) -> None:
         self._load = load
         clock = SuspendAwareClock()
         groups: dict[str, Group] = {}
@@ -66,13 +67,14 @@
         runners = Runners(
             StatementRunner(self._pool, router), TransactionRunner(self._pool, router)
         )
-        self._server = SessionServer(settings.clients, self._state, runners)
+        self._server = SessionServer(settings.clients, self._state, runners, listener)
 
     def run(self) -> ExitStatus:
         """Serves until SIGTERM, then drains."""
         gevent.signal_handler(signal.SIGTERM, self._stopping.set)
         gevent.signal_handler(signal.SIGINT, self._stopping.set)
         gevent.signal_handler(signal.SIGHUP, self._reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
         address = self._settings.readiness
         readiness_server(address, self._is_ready).start()
         self._serve_metrics(Address(address.host, self._settings.metrics_port))
@@ -142,8 +144,13 @@
         self._peers.reload(settings)
 
 
-def run(settings: ProxySettings, env: Environment, load: Load) -> ExitStatus:
-    """Runs the session proxy until it is stopped; `load` reads its settings again."""
+def run(
+    settings: ProxySettings, env: Environment, load: Load, listener: socket.socket | None
+) -> ExitStatus:
+    """Runs the session proxy until it is stopped; `load` reads its settings again.
+
+    `listener` is the socket for clients, if it is open already.
+    """
     logs.defer()
     stream = BoundedStream(env.stdout.fileno(), env.clock.monotonic)
 
@@ -151,4 +158,4 @@
         logs.configure(settings.log_level, cast(TextIO, stream), vm=settings.vm)
 
     gevent.spawn_later(LOGS_DELAY_S, configure_logs)
-    return ProxyProgram(settings, load).run()
+    return ProxyProgram(settings, load, listener).run()
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -1,5 +1,6 @@
 """Servers of the session proxy: client sessions, readiness and metrics."""
 
+import socket as system_socket
 from collections.abc import Callable
 from typing import Any
 
@@ -9,24 +10,32 @@
 from siskindale.models.address import Address
 from siskindale.platform.readiness import READINESS_PATH
 from siskindale.proxy import metrics
+from siskindale.proxy.listening import ACCEPT_BACKLOG
 from siskindale.proxy.session import ClientSession, Runners
 from siskindale.proxy.state import ProxyState
 from siskindale.transport.http_server import Response, http_server
 
-ACCEPT_BACKLOG = 1024
 METRICS_PATH = "/metrics"
 
 
 class SessionServer:
     """Accepts clients and keeps their sessions."""
 
-    def __init__(self, address: Address, state: ProxyState, runners: Runners) -> None:
+    def __init__(
+        self,
+        address: Address,
+        state: ProxyState,
+        runners: Runners,
+        listener: system_socket.socket | None,
+    ) -> None:
         self._state = state
         self._runners = runners
         self._sessions: set[ClientSession] = set()
-        self._server = StreamServer(
-            (address.host, address.port), self._serve, backlog=ACCEPT_BACKLOG
-        )
+        if listener is None:
+            listener = system_socket.create_server(
+                (address.host, address.port), backlog=ACCEPT_BACKLOG
+            )
+        self._server = StreamServer(socket.socket(fileno=listener.detach()), self._serve)
 
     @property
     def sessions(self) -> set[ClientSession]:
--- a/siskindale/proxy/settings.py
+++ b/siskindale/proxy/settings.py
@@ -11,8 +11,6 @@
 from siskindale.models.address import Address
 from siskindale.models.vm import ProxySettings
 
-SETTINGS_VARIABLE = "SISKINDALE_SETTINGS"
-
 Findings = tuple[Finding, ...]
 
 _OPTIONAL = frozenset({"seeds", "drain_ms", "grace_s", "metrics_port", "log_level"})
--- a/tests/proxy/deployment.py
+++ b/tests/proxy/deployment.py
@@ -195,9 +195,13 @@
     @property
     def ready(self) -> bool:
         """Whether the platform would send clients."""
-        with socket.create_connection((self.readiness.host, self.readiness.port), 5) as sock:
-            sock.sendall(b"GET /v1/ready HTTP/1.0\r\n\r\n")
-            return b" 200 " in sock.recv(1000).split(b"\r\n")[0]
+        try:
+            with socket.create_connection((self.readiness.host, self.readiness.port), 5) as sock:
+                sock.sendall(b"GET /v1/ready HTTP/1.0\r\n\r\n")
+                return b" 200 " in sock.recv(1000).split(b"\r\n")[0]
+        except ConnectionRefusedError:
+            # The proxy listens for clients before it listens for probes.
+            return False
 
     @property
     def log(self) -> str:
