--- a/bench/commands.py
+++ b/bench/commands.py
@@ -14,6 +14,7 @@
 
 from bench import failover as failover_bench
 from bench import ordering as ordering_bench
+from bench import promotions as promotions_bench
 from bench import propagation as propagation_bench
 from bench import routing as routing_bench
 from bench import speed as speed_bench
@@ -24,6 +25,7 @@
 IDLE_CALLERS = (500, 1000, 2000, 4000)
 NODE_SIZES = ((100, 120), (300, 360), (770, 920))
 CALLERS = (8, 32, 64)
+WORST_OUTAGES = 5
 # Today, and for the size of the target: loss is noticed after four intervals.
 PROBE_INTERVALS_MS = (150, 1250)
 
@@ -41,6 +43,17 @@
     print(msgspec.json.format(msgspec.json.encode(found)).decode())
 
 
+@app.command()
+def promotions(logs: list[Path]) -> None:
+    """Summarise the outages of recorded days from the log lines of their session proxies."""
+    events = [promotions_bench.read_events(log) for log in logs]
+    outages = list(itertools.chain.from_iterable(map(promotions_bench.find_outages, events)))
+    for outage in sorted(outages, key=lambda outage: -outage.total_s)[:WORST_OUTAGES]:
+        print(outage)
+    for line in promotions_bench.summary(outages):
+        print(line)
+
+
 @app.command()
 def failover(
     rounds: Annotated[int, typer.Option(help="Losses of each of the eight databases.")] = 4,
