--- a/bench/promotions.py
+++ b/bench/promotions.py
@@ -94,13 +94,13 @@
     found = _first(e for e in after if accepted and _found(e, group, accepted.fields["target"]))
     if not before or accepted is None or found is None:
         return None
-    written = _first(e for e in after if _wrote(e, accepted.fields["target"]))
+    # Before, the target commits transactions that only read.
+    written = _first(e for e in after if e.at >= found.at and _wrote(e, found.fields["target"]))
     if written is None:
         return None
     # A leaving primary serves until its successor leads.
-    last = max(
-        (e.at for e in after if e.at < written.at and _served(e, old)), default=before[-1].at
-    )
+    served = [e.at for e in after if e.at < written.at and _served(e, old)]
+    last = max(served, default=before[-1].at)
     steps = [last, *(max(last, step.at) for step in (decided, accepted, found, written))]
     parts = [later - earlier for earlier, later in itertools.pairwise(steps)]
     return Outage(group, decided.fields["reason"], _store_up(events, decided), last, *parts)
@@ -141,7 +141,7 @@
 
 
 def summary(outages: Sequence[Outage]) -> list[str]:
-    """Returns lines with the median and the worst outage, for each reason and state of the store."""
+    """Returns a line with median and worst for each reason and state of the store."""
     lines = []
     for reason, store_up in itertools.product(sorted({o.reason for o in outages}), (True, False)):
         chosen = [o for o in outages if o.reason == reason and o.store_up is store_up]
--- a/tests/bench/test_promotions.py
+++ b/tests/bench/test_promotions.py
@@ -14,6 +14,7 @@
 10.40 vm1 level=info event=promotion-decided group=g reason=lost old=old successors=new
 10.45 vm1 level=info event=promotion-ordered group=g target=new outcome=unknown
 10.60 vm1 level=info event=promotion-ordered group=g target=new outcome=accepted
+10.65 vm2 level=info event=statement verb=commit target=new
 10.70 vm1 level=info event=promotion-decided group=g reason=lost old=old successors=new
 11.60 vm3 level=info event=primary-found group=g target=new
 11.65 vm3 level=info event=statement verb=read target=new
