--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -1,5 +1,6 @@
 """The running session proxy: its parts, start and stop."""
 
+import atexit
 import gc
 import os
 import signal
@@ -158,4 +159,6 @@
         logs.configure(settings.log_level, cast(TextIO, stream), vm=settings.vm)
 
     gevent.spawn_later(LOGS_DELAY_S, configure_logs)
+    gevent.spawn(stream.run)
+    atexit.register(stream.flush)
     return ProxyProgram(settings, load, listener).run()
--- a/tests/test_log_stream.py
+++ b/tests/test_log_stream.py
@@ -26,6 +26,7 @@
         stream.write("x\n")
     clock.now += 1.0
     stream.write("later\n")
+    stream.flush()
     lines = os.read(pipe[0], 1 << 16).decode().splitlines()
     assert lines.count("x") == BURST_LINES
     assert lines[-2:] == ["level=warning event=log-lines-dropped count=50", "later"]
@@ -39,8 +40,21 @@
     for _ in range(2000):
         clock.now += 1.0
         stream.write("x" * 1000 + "\n")
+        stream.flush()
     os.read(pipe[0], 1 << 20)
     clock.now += 1.0
     stream.flush()
     stream.write("later\n")
+    stream.flush()
     assert os.read(pipe[0], 1 << 20)
+
+
+def test_lines_are_collected_for_one_write(pipe: tuple[int, int]) -> None:
+    """Guards against a system call a line, which took a tenth of a proxy's processor time."""
+    stream = BoundedStream(pipe[1], FakeClock().monotonic)
+    stream.write("a\n")
+    stream.write("b\n")
+    with pytest.raises(BlockingIOError):
+        os.read(pipe[0], 100)
+    stream.flush()
+    assert os.read(pipe[0], 100) == b"a\nb\n"
