Open one connection to a target at a time

Cause: after a loss of all VMs each one opened up to six connections to each target at once for the statements that waited. Change: decisions/connections.py starts the next opening when the one before has ended.

--- a/siskindale/proxy/decisions/connections.py
+++ b/siskindale/proxy/decisions/connections.py
@@ -28,8 +28,12 @@
 
 
 def may_open(target: Target, group: Group, vms: int, now: float) -> bool:
-    """Tells whether a statement that waits may open one more connection."""
-    if target.closed or now < target.next_open_at:
+    """Tells whether a statement that waits may open one more connection.
+
+    Answers the herd after a loss of all VMs, too: each opening takes a slot for longer than most
+    statements, so connections to a target are opened one after the other.
+    """
+    if target.closed or target.opening or now < target.next_open_at:
         return False
     if now < target.yield_until:
         return target.open_count + target.opening < KEPT_IDLE
--- a/tests/proxy/test_connections.py
+++ b/tests/proxy/test_connections.py
@@ -91,3 +91,22 @@
     assert not connections.is_starved(target, now=9.9 + connections.STARVED_S)
     target.open_count = 1
     assert not connections.is_starved(target, now=10.0)
+
+
+def test_the_herd_after_a_restart_does_not_spend_all_slots_on_openings(group: Group) -> None:
+    """Guards against 7 VMs that open six connections each to a target with two slots at once.
+
+    Replays the first 100 ms after a loss of all VMs: statements of one VM wait for a target, and
+    each pass over them may start another opening. One takes 27 ms of a slot.
+    """
+    target = group.targets["a"]
+    opening_s, slots = 0.027, 2
+    started: list[float] = []
+    for tick in range(100):
+        now = tick / 1000
+        target.opening = sum(at + opening_s > now for at in started)
+        target.open_count = len(started) - target.opening
+        if connections.may_open(target, group, VMS, now):
+            started.append(now)
+    assert VMS * len(started) * opening_s / slots <= 0.4
+    assert target.open_count >= 2
