Name the request in lines of transactions, and look at sockets in one place

A refused or failed start of a transaction was logged without the client's request, so a complaint could not be traced. Three copies of the look at unread input (HTTP client, target connection, session) are one function in transport/sockets.py.

--- a/siskindale/proxy/connection.py
+++ b/siskindale/proxy/connection.py
@@ -18,6 +18,7 @@
     SetValue,
 )
 from siskindale.proxy.tables import Target
+from siskindale.transport.sockets import Arrived, arrived
 
 now = SuspendAwareClock().monotonic
 
@@ -92,13 +93,7 @@
         """Whether the connection is open without unread input, so that a statement may be sent."""
         if self.closed or self._reader.buffered or self.outstanding:
             return False
-        try:
-            self._socket._sock.recv(1, system_socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return arrived(self._socket) is Arrived.NOTHING
 
     def close(self) -> None:
         """Closes the connection; the target rolls an open transaction back."""
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -26,6 +26,7 @@
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.transactions import Transaction, TransactionRunner
 from siskindale.runtime.logs import logger
+from siskindale.transport.sockets import Arrived, arrived
 
 START_TIMEOUT_S = 5.0
 # A client gives up if the reply to its start takes 2 s.
@@ -73,7 +74,7 @@
             self._phase is Phase.WAITING
             and self._transaction is None
             and not self._reader.buffered
-            and not self._has_input()
+            and arrived(self._socket) is not Arrived.DATA
         )
 
     @property
@@ -112,14 +113,6 @@
         transaction.failed = True
         self._runners.transactions.end(transaction)
 
-    def _has_input(self) -> bool:
-        try:
-            return bool(self._socket._sock.recv(1, system_socket.MSG_PEEK))
-        except BlockingIOError:
-            return False
-        except OSError:
-            return False
-
     def _start(self) -> bool:
         with gevent.Timeout(START_TIMEOUT_S, OSError("no start message")):
             line = self._reader.line()
@@ -207,7 +200,8 @@
         group = self._state.group(route)
         if verb in (Verb.BEGIN, Verb.BEGIN_READ_ONLY):
             read_only = verb is Verb.BEGIN_READ_ONLY
-            self._transaction = Transaction(read_only, route, group, arrived)
+            begun_by = statement.request_id
+            self._transaction = Transaction(read_only, route, group, arrived, begun_by)
             self._runners.transactions.begin_early(self._transaction, self._values, self._position)
             return Reply(receipt=_DONE, state=SessionState.OPEN)
         return self._run_single(statement, route, arrived)
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -31,7 +31,7 @@
 
 @attrs.define
 class Transaction:
-    """An open transaction.
+    """An open transaction; `begun_by` is the id of the client's request that began it.
 
     `starting` is the greenlet that starts it on a target while the client prepares its first
     statement. `reported` is set once the client has been told that the transaction failed.
@@ -41,6 +41,7 @@
     route: Route
     group: Group
     arrived: float
+    begun_by: bytes
     connection: TargetConnection | None = None
     starting: gevent.Greenlet | None = None
     wrote: bool = False
@@ -118,6 +119,7 @@
                     continue
                 logger().info(
                     "transaction-refused",
+                    request=transaction.begun_by.decode(errors="replace"),
                     group=transaction.group.name,
                     primary=transaction.group.leadership.target,
                     waiting=len(transaction.group.waiters),
@@ -159,7 +161,12 @@
             limit = min(need.deadline, started + TRANSACTION_REPLY_S)
             replies = [connection.receive(limit - self._pool.now()) for _ in messages]
         except BROKEN as error:
-            logger().info("begin-failed", target=connection.target.id, reason=repr(error))
+            logger().info(
+                "begin-failed",
+                request=transaction.begun_by.decode(errors="replace"),
+                target=connection.target.id,
+                reason=repr(error),
+            )
             self._pool.break_off(transaction.group, connection)
             return ErrorCode.FAILED
         except BaseException:
--- a/siskindale/transport/http.py
+++ b/siskindale/transport/http.py
@@ -16,6 +16,7 @@
 
 from siskindale.models.address import Address
 from siskindale.transport.metrics import Purpose, Traffic
+from siskindale.transport.sockets import Arrived, arrived
 
 MAX_RESPONSE_BYTES = 64 << 20
 MAX_KEPT = 4
@@ -101,7 +102,9 @@
     @property
     def usable(self) -> bool:
         """Whether a request may be sent: open, idle and without unread input."""
-        return self._usable and self._quiet()
+        # End of stream and unread input both make the connection unusable before a request leaves
+        # on it; that keeps the failure "not sent".
+        return self._usable and arrived(self._socket) is Arrived.NOTHING
 
     def close(self) -> None:
         """Closes the connection."""
@@ -140,17 +143,6 @@
         head = f"{method} {path} HTTP/1.1\r\n{self._headers}{_lines(headers)}{length}"
         return head.encode("ascii") + body
 
-    def _quiet(self) -> bool:
-        try:
-            # End of stream and unread input both make the connection unusable before a request
-            # leaves on it; that keeps the failure "not sent".
-            self._socket._sock.recv(1, system_socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
     def _send(self, data: bytes, deadline: float) -> bool:
         """Returns False if not a byte left; raises where a part may have left."""
         try:
--- a/tests/proxy/test_deployment.py
+++ b/tests/proxy/test_deployment.py
@@ -195,3 +195,15 @@
     assert client.query("READ item").error == b"BUSY"
     assert time.monotonic() - started < 2 * 3.0
     assert client.query("ROLLBACK").state == b"I"
+
+
+def test_a_refused_transaction_is_logged_with_its_request(deployment: Deployment) -> None:
+    """Guards against a complaint about a transaction that no line of the log belongs to."""
+    proxy = deployment.start_proxy()
+    client = proxy.client()
+    assert client.query("READ item").error is None
+    for instance in deployment.group.instances.values():
+        instance.crash()
+    client.query("BEGIN", request_id="begin-7")
+    assert client.query("READ item").error is not None
+    eventually(lambda: "request=begin-7" in proxy.log, "the line is written")
