Read who holds the failover duty after a pause of the process

Cause: a holder that was paused while another VM took the duty ordered a promotion under its old token; the platform refused it, and the failover lost a call. Change: after a stall the holder reads the row again in the background.

--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -84,6 +84,9 @@
         for watch in self._watches.values():
             watch.group.leadership.lost_since = None
             watch.absent_since = watch.reason_since = None
+        if self._duty.token is not None:
+            # Another VM may have taken the duty; a call under the old token would be refused.
+            gevent.spawn(self._duty.refresh)
 
     def _tick(self, watch: GroupWatch, now: float) -> None:
         group = watch.group
--- a/tests/proxy/deployment.py
+++ b/tests/proxy/deployment.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -169,9 +170,18 @@
         path.write_text(json.dumps(settings, indent=1))
         return path, clients, readiness
 
-    def start_proxy(self, name: str = "vm1", ready: bool = True) -> "Proxy":
-        """Starts a proxy and waits until it is ready."""
-        proxy = self.start_with(name, *self.settings_file(name))
+    def peers_address(self, name: str) -> str:
+        """Address at which a proxy listens for its peers."""
+        return str(json.loads(self.path(name).read_text())["peers"])
+
+    def start_proxy(
+        self, name: str = "vm1", ready: bool = True, seeds: Sequence[str] = ()
+    ) -> "Proxy":
+        """Starts a proxy, which knows the peers at `seeds`, and waits until it is ready."""
+        path, *addresses = self.settings_file(name)
+        settings = json.loads(path.read_text())
+        path.write_text(json.dumps({**settings, "seeds": [*seeds, *settings["seeds"]]}, indent=1))
+        proxy = self.start_with(name, path, *addresses)
         if ready:
             wait_until(lambda: proxy.ready, PATIENCE_S, "proxy is ready")
         return proxy
--- a/tests/proxy/test_deployment.py
+++ b/tests/proxy/test_deployment.py
@@ -116,12 +116,7 @@
     """Guards against a proxy that is lost without the store although a peer could tell it all."""
     first = deployment.start_proxy("vm1")
     deployment.platform.faults.down = True
-    path, clients, readiness = deployment.settings_file("vm2")
-    first_peers = json.loads(deployment.path("vm1").read_text())["peers"]
-    settings = json.loads(path.read_text())
-    path.write_text(json.dumps({**settings, "seeds": [first_peers, *settings["seeds"]]}))
-    second = deployment.start_with("vm2", path, clients, readiness)
-    eventually(lambda: second.ready, "the second proxy knows the configuration")
+    second = deployment.start_proxy("vm2", seeds=[deployment.peers_address("vm1")])
     assert second.client().query("READ item").error is None
     assert first.ready
 
--- /dev/null
+++ b/tests/proxy/test_duty.py
@@ -0,0 +1,63 @@
+"""Two proxies and one failover duty."""
+
+import signal
+from typing import Any
+
+import pytest
+
+from tests.proxy.deployment import Deployment, Proxy, eventually
+
+
+@pytest.fixture
+def proxies(deployment: Deployment) -> dict[str, Proxy]:
+    """Two proxies that know each other."""
+    first = deployment.start_proxy("vm1")
+    second = deployment.start_proxy("vm2", seeds=[deployment.peers_address("vm1")])
+    return {"vm1": first, "vm2": second}
+
+
+def holder(deployment: Deployment) -> str:
+    """VM that holds the duty as the store knows it, empty for none."""
+    row: Any = deployment.platform.row("duties", "failover")
+    return str(row.value["holder"]) if row else ""
+
+
+def test_a_paused_holder_does_not_promote_again(
+    deployment: Deployment, proxies: dict[str, Proxy]
+) -> None:
+    """Guards against two holders that promote under one token, or against the newer one.
+
+    The holder is paused while the other proxy takes the duty, and wakes with its old token.
+    """
+    paused = eventually(lambda: holder(deployment), "a proxy has taken the duty")
+    other = next(proxy for name, proxy in proxies.items() if name != paused)
+    client = other.client()
+    eventually(lambda: client.query("WRITE item 1").error is None, "the group has a primary")
+    proxies[paused].process.signal(signal.SIGSTOP)
+    deployment.group.primary.crash()
+    eventually(lambda: client.query("WRITE item 2").error is None, "the other proxy promoted")
+    assert holder(deployment) == other.name
+    proxies[paused].process.signal(signal.SIGCONT)
+    eventually(lambda: proxies[paused].client().query("WRITE item 3").error is None, "it follows")
+    deployment.group.primary.crash()
+    eventually(lambda: client.query("WRITE item 4").error is None, "the last target leads")
+    calls = deployment.platform.promotions
+    holders_of = {call.fencing_token: set[str]() for call in calls}
+    for call in calls:
+        holders_of[call.fencing_token].add(call.holder)
+    assert all(len(holders) == 1 for holders in holders_of.values()), calls
+    assert [call.fencing_token for call in calls] == sorted(call.fencing_token for call in calls)
+
+
+def test_proxies_that_start_together_agree_on_one_holder(
+    deployment: Deployment, proxies: dict[str, Proxy]
+) -> None:
+    """Guards against a duty that two proxies take from each other again and again."""
+    eventually(lambda: holder(deployment), "a proxy has taken the duty")
+    client = proxies["vm1"].client()
+    eventually(lambda: client.query("WRITE item 1").error is None, "the group has a primary")
+    version = deployment.platform.row("duties", "failover")
+    deployment.group.primary.crash()
+    eventually(lambda: client.query("WRITE item 2").error is None, "a successor leads")
+    assert deployment.platform.row("duties", "failover") == version
+    assert len({call.holder for call in deployment.platform.promotions}) == 1
