Split what follows failed batches from completion.py

The file had 408 lines and two jobs. pool/systems/failure.py has the failed, refused and lost batches; no logic changed. The fault switches of the tests point at the new place.

--- a/siskindale/pool/systems/completion.py
+++ b/siskindale/pool/systems/completion.py
@@ -1,4 +1,4 @@
-"""Completion: what follows the answer, the failure or the confirmation of a batch."""
+"""Completion: what follows the answer or the confirmation of a batch."""
 
 from collections.abc import Callable
 
@@ -14,6 +14,7 @@
     batches,
     connections,
     discovery,
+    failure,
     freshness,
     idempotency,
     ordering,
@@ -26,18 +27,13 @@
     Stage,
     Tables,
 )
-from siskindale.targets.interface import BatchResult, TargetError, TargetFailure
+from siskindale.targets.interface import BatchResult
 
 Step = Callable[[Tables, RequestRow, float], list[Effect]]
 
 LOOKUP_RETRY_S = 0.03
-ROLE_RETRY_S = 0.02
-SLOW_S = 0.25
 # Stages in whose open transaction a connection may be left when the request has ended.
 OPEN_STAGES = frozenset({Stage.KEY_INSERT, Stage.KEY_RECORD, Stage.BEGIN})
-SAFE_TO_REPEAT = frozenset(
-    {Stage.READ, Stage.REPLICA_READ, Stage.KEY_LOOKUP, Stage.KEY_INSERT, Stage.SCHEMA}
-)
 
 
 def ended(tables: Tables, event: BatchEnded, now: float) -> list[Effect]:
@@ -51,7 +47,7 @@
     if isinstance(event.outcome, Success):
         connection.target.failures = 0
         return _succeeded(tables, request, event.outcome.unwrap(), now)
-    return _failed(tables, request, event.outcome.failure(), now)
+    return failure.failed(tables, request, event.outcome.failure(), now)
 
 
 def _succeeded(tables: Tables, request: RequestRow, batch: BatchResult, now: float) -> list[Effect]:
@@ -84,11 +80,6 @@
     )
 
 
-def _release(tables: Tables, request: RequestRow) -> list[Effect]:
-    connection, request.connection = request.connection, None
-    return connections.release(tables, connection) if connection is not None else []
-
-
 def _confirm(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     """Holds a result back until a majority has confirmed it."""
     if acknowledgement.submit(tables, request):
@@ -103,17 +94,17 @@
 
 def _read(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     _take_result(request, 1)
-    return _release(tables, request) + _confirm(tables, request, now)
+    return connections.release_from(tables, request) + _confirm(tables, request, now)
 
 
 def _write(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     _take_result(request, 0)
-    return _release(tables, request) + _confirm(tables, request, now)
+    return connections.release_from(tables, request) + _confirm(tables, request, now)
 
 
 def _replica_read(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     _take_result(request, 1)
-    effects = _release(tables, request)
+    effects = connections.release_from(tables, request)
     target = request.group.targets.get(request.served_by)
     assert request.batch is not None
     if target is not None and request.batch.matched and request.batch.term == request.group.term:
@@ -158,13 +149,13 @@
     recorded = request.batch.results[0]
     if recorded is None or recorded.row_count != 1:
         # The target has lost the transaction, so this batch ran outside of it.
-        return _release(tables, request) + _lost(tables, request, now)
-    return _release(tables, request) + _confirm(tables, request, now)
+        return connections.release_from(tables, request) + failure.lost(tables, request, now)
+    return connections.release_from(tables, request) + _confirm(tables, request, now)
 
 
 def _schema(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     request.group.schema_ready = True
-    effects = _release(tables, request)
+    effects = connections.release_from(tables, request)
     return effects + admission.requeue(tables, request, Stage.KEY_INSERT, now)
 
 
@@ -181,18 +172,18 @@
 
 def _commit(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     _end_transaction(tables, request)
-    return _release(tables, request) + _confirm(tables, request, now)
+    return connections.release_from(tables, request) + _confirm(tables, request, now)
 
 
 def _rollback(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     _end_transaction(tables, request)
     request.batch = None
-    return _release(tables, request) + answers.succeed(tables, request)
+    return connections.release_from(tables, request) + answers.succeed(tables, request)
 
 
 def _prune(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
     request.group.pruning = False
-    return _release(tables, request) + answers.succeed(tables, request)
+    return connections.release_from(tables, request) + answers.succeed(tables, request)
 
 
 def _end_transaction(tables: Tables, request: RequestRow) -> None:
@@ -274,109 +265,6 @@
     return answers.lose(tables, request, "the primary was replaced before a majority confirmed")
 
 
-def _failed(tables: Tables, request: RequestRow, error: TargetError, now: float) -> list[Effect]:
-    connection = request.connection
-    assert connection is not None
-    target, transaction = connection.target, connection.transaction
-    effects: list[Effect] = []
-    if error.kind in (TargetFailure.UNKNOWN, TargetFailure.UNREACHABLE):
-        effects += connections.close(tables, connection)
-        discovery.poll_soon(tables, request.group, now)
-    if error.kind is TargetFailure.UNKNOWN and _suspicious(request, now):
-        discovery.avoid(target, now)
-    if transaction is not None:
-        # Every error rolls the transaction back.
-        transactions.end(tables, transaction)
-    effects += _release(tables, request)
-    if request.phase is Phase.ENDED:
-        return effects
-    if error.kind is TargetFailure.UNKNOWN or _failed_at_commit(request, error):
-        return effects + _lost(tables, request, now)
-    return effects + _refused(tables, request, error, now)
-
-
-def _suspicious(request: RequestRow, now: float) -> bool:
-    """Whether a lost answer says something of the target; a short deadline does not."""
-    return now < request.deadline or now - request.since > SLOW_S
-
-
-def _failed_at_commit(request: RequestRow, error: TargetError) -> bool:
-    if error.kind is TargetFailure.UNREACHABLE:
-        return False
-    if request.stage is Stage.COMMIT:
-        return True
-    return request.stage is Stage.KEY_RECORD and error.step == 1
-
-
-def _lost(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
-    """Continues a request whose batch may have taken effect."""
-    if request.stage in SAFE_TO_REPEAT:
-        # No commit of a change was sent, so another attempt cannot repeat anything.
-        return repeat(tables, request, now)
-    if request.stage is Stage.KEY_RECORD:
-        request.unsure_term = max(request.unsure_term, request.sent_term)
-        return admission.requeue(tables, request, Stage.KEY_LOOKUP, now)
-    if request.stage is Stage.BEGIN:
-        return answers.refuse(
-            tables, request, RefusalKind.UNAVAILABLE, "the transaction could not be opened"
-        )
-    if request.stage in (Stage.ROLLBACK, Stage.PRUNE):
-        request.group.pruning = request.group.pruning and request.stage is not Stage.PRUNE
-        return answers.succeed(tables, request)
-    return answers.lose(tables, request, "the target's answer was lost")
-
-
-def repeat(tables: Tables, request: RequestRow, now: float) -> list[Effect]:
-    """Runs a stage again that has no effect until a later one."""
-    stage = Stage.READ if request.stage is Stage.REPLICA_READ else request.stage
-    request.stage = stage
-    if not admission.may_retry(request):
-        if request.stage in (Stage.KEY_INSERT, Stage.SCHEMA):
-            return answers.refuse(
-                tables, request, RefusalKind.UNAVAILABLE, "the target's answers were lost"
-            )
-        return answers.lose(tables, request, "the target's answers were lost")
-    return admission.later(tables, request, now, ROLE_RETRY_S)
-
-
-def _refused(tables: Tables, request: RequestRow, error: TargetError, now: float) -> list[Effect]:
-    """Continues a request whose batch certainly had no effect."""
-    if request.stage is Stage.PRUNE:
-        request.group.pruning = False
-        return answers.succeed(tables, request)
-    if error.kind in (TargetFailure.STATEMENT, TargetFailure.CONSTRAINT):
-        return _statement_error(tables, request, error, now)
-    discovery.poll_soon(tables, request.group, now)
-    if request.transaction is not None:
-        return answers.refuse(
-            tables, request, RefusalKind.UNKNOWN_TRANSACTION, "the transaction has ended"
-        )
-    if request.stage is Stage.REPLICA_READ:
-        request.stage = Stage.READ
-    if request.stage is Stage.KEY_RECORD:
-        request.stage = Stage.KEY_INSERT
-    if error.kind is TargetFailure.UNREACHABLE:
-        # The connection was closed while idle; the next one is tried at once.
-        return admission.requeue(tables, request, request.stage, now)
-    return admission.later(tables, request, now, ROLE_RETRY_S)
-
-
-def _statement_error(
-    tables: Tables, request: RequestRow, error: TargetError, now: float
-) -> list[Effect]:
-    in_own_table = request.stage is Stage.KEY_INSERT and error.step == idempotency.INSERT_STEP
-    if in_own_table and error.kind is TargetFailure.CONSTRAINT:
-        return admission.requeue(tables, request, Stage.KEY_LOOKUP, now)
-    if in_own_table and not request.group.schema_ready:
-        return admission.requeue(tables, request, Stage.SCHEMA, now)
-    if request.stage is Stage.KEY_LOOKUP and not request.group.schema_ready:
-        return admission.requeue(tables, request, Stage.SCHEMA, now)
-    if request.stage is Stage.REPLICA_READ:
-        # A lagging replica may lack a table that the primary has.
-        return admission.requeue(tables, request, Stage.READ, now)
-    return answers.refuse(tables, request, RefusalKind.INVALID_STATEMENT, error.detail)
-
-
 def term_ended(
     tables: Tables, group: GroupRow, waiting: list[RequestRow], now: float
 ) -> list[Effect]:
@@ -404,5 +292,5 @@
             effects += connections.close(tables, connection)
             request.connection = None
             if request.phase is not Phase.ENDED:
-                effects += _lost(tables, request, now)
+                effects += failure.lost(tables, request, now)
     return effects
--- a/siskindale/pool/systems/connections.py
+++ b/siskindale/pool/systems/connections.py
@@ -192,3 +192,9 @@
 def success(outcome: object) -> bool:
     """Whether a driver's result is a success."""
     return isinstance(outcome, Success)
+
+
+def release_from(tables: Tables, request: RequestRow) -> list[Effect]:
+    """Takes a request's connection back, if it has one."""
+    connection, request.connection = request.connection, None
+    return release(tables, connection) if connection is not None else []
--- a/tests/pool/test_faults.py
+++ b/tests/pool/test_faults.py
@@ -9,7 +9,7 @@
 from siskindale.models.outcomes import Outcome, RefusalKind
 from siskindale.pool import answers
 from siskindale.pool.effects import RunBatch
-from siskindale.pool.systems import acknowledgement, completion, connections, freshness, intake
+from siskindale.pool.systems import acknowledgement, connections, failure, freshness, intake
 from siskindale.pool.tables import RequestRow, Stage
 from tests.pool.oracle import ViolationError
 from tests.pool.world import Flight, World
@@ -158,9 +158,9 @@
     "ignore-token": (lagging_replica, RequestRow, "token", LogPosition()),
     "retry-unkeyed-writes": (
         lost_answer,
-        completion,
+        failure,
         "SAFE_TO_REPEAT",
-        completion.SAFE_TO_REPEAT | {Stage.WRITE},
+        failure.SAFE_TO_REPEAT | {Stage.WRITE},
     ),
     "report-lost-as-not-run": (lost_answer, answers, "lose", _refuse),
     "ignore-keys": (
