--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -22,6 +22,7 @@
     409: "409 Conflict",
     410: "410 Gone",
     412: "412 Precondition Failed",
+    429: "429 Too Many Requests",
     503: "503 Service Unavailable",
 }
 
@@ -40,12 +41,17 @@
 class StoreFaults:
     """Faults of the platform.
 
-    `down` refuses calls of the store. `lose_promotions` is the number of calls that are carried out
-    `late_s` later and get no answer. `history_lost` refuses the next watches. While it is `silent`,
-    the store answers no call, nor any that was under way when the silence began.
+    `down` refuses calls of the store, `limited` refuses them for their rate. `delay_s` passes
+    before each of its answers. `lose_commits` is the number of transactions that take effect
+    without an answer, `lose_promotions` the number of calls that are carried out `late_s` later
+    without an answer. `history_lost` refuses the next watches. While it is `silent`, the store
+    answers no call, nor any that was under way when the silence began.
     """
 
     down: bool = False
+    limited: bool = False
+    delay_s: float = 0.0
+    lose_commits: int = 0
     lose_promotions: int = 0
     late_s: float = 0.0
     history_lost: bool = False
@@ -104,8 +110,9 @@
         path = environ["PATH_INFO"]
         if path == "/promote":
             return self._order(environ, json.loads(body))
-        if self.faults.down:
-            return 503, {}
+        if self.faults.down or self.faults.limited:
+            return (503 if self.faults.down else 429), {}
+        gevent.sleep(self.faults.delay_s)
         if path == "/v1/rows-get":
             return 200, self._get(query)
         if path == "/v1/rows-feed":
@@ -152,6 +159,9 @@
         ]
         outcome = self._tables.commit(conditions, writes)
         self._announce()
+        if isinstance(outcome, int) and self.faults.lose_commits:
+            self.faults.lose_commits -= 1
+            gevent.sleep(FOREVER_S)
         if isinstance(outcome, int):
             return 200, {"ver": outcome, "now_ms": 0}
         return 412, {"rows": [], "ver": self._tables.version, "now_ms": 0}
