--- a/siskindale/bundles/following.py
+++ b/siskindale/bundles/following.py
@@ -112,7 +112,7 @@
         """Calls `listener` with the bundle in effect and each later one; it must not block."""
         self._listeners.append(listener)
         if self._bundle is not None:
-            listener(self._bundle)
+            self._call_listener(listener, self._bundle)
 
     def start(self) -> None:
         """Starts polling and fetching."""
--- a/siskindale/config/rules.py
+++ b/siskindale/config/rules.py
@@ -85,10 +85,16 @@
         yield Problem(path, "is not hexadecimal")
         return
     if length < minimum or (maximum is not None and length > maximum):
-        expected = f"{minimum} bytes" if maximum == minimum else f"{minimum} bytes or more"
+        expected = _expected_length(minimum, maximum)
         yield Problem(path, f"has {length} bytes", f"expected {expected}")
 
 
+def _expected_length(minimum: int, maximum: int | None) -> str:
+    if maximum is None:
+        return f"{minimum} bytes or more"
+    return f"{minimum} bytes" if maximum == minimum else f"{minimum} to {maximum} bytes"
+
+
 def require_unique(kind: str, entries: Iterable[tuple[str, str]]) -> Iterator[Problem]:
     """Yields a problem for each (path, value) whose value is already used at an earlier path."""
     first_paths: dict[str, str] = {}
--- a/siskindale/controller/systems/promotion.py
+++ b/siskindale/controller/systems/promotion.py
@@ -33,11 +33,12 @@
     """Starts a promotion with a reserved term; a lack of terms is logged once."""
     term = terms.take_term(tables, row.name)
     if term is None:
-        if row.last_logged_reason == "no-term":
+        if row.lack_of_terms_logged:
             return []
-        row.last_logged_reason = "no-term"
+        row.lack_of_terms_logged = True
         return [LogEvent("promotion-without-term", row.name, {"reason": planned.reason})]
     row.last_logged_reason = ""
+    row.lack_of_terms_logged = False
     row.promotion_times.append(now)
     planned.term = term
     tables.promotions[row.name] = planned
--- a/siskindale/controller/tables.py
+++ b/siskindale/controller/tables.py
@@ -76,6 +76,7 @@
     peer_answers: dict[str, PeerAnswer] = attrs.field(factory=dict)
     change_needed_since: float | None = None
     last_logged_reason: str = ""
+    lack_of_terms_logged: bool = False
     pools: tuple[str, ...] = ()
     pool_reports: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
--- a/siskindale/entry/dispatcher.py
+++ b/siskindale/entry/dispatcher.py
@@ -108,6 +108,8 @@
         url = self._routes.pool_url(effect.pool)
         if url and self._mailbox.send(url, effect.request, effect.correlation_id):
             metrics.SENT.inc()
+            if effect.repeated:
+                metrics.RESENT.inc()
             return []
         now = self._clock.monotonic()
         return forwarding.handle_send_failure(
--- a/siskindale/entry/forwarding.py
+++ b/siskindale/entry/forwarding.py
@@ -269,7 +269,7 @@
     pending.attempts.append(attempt)
     tables.attempts[attempt.correlation_id] = (pending, attempt)
     _set_timer(tables, pending, _next_check_at(pending, now))
-    return SendRequest(vm, request, attempt.correlation_id)
+    return SendRequest(vm, request, attempt.correlation_id, repeated=len(pending.attempts) > 1)
 
 
 def _request_for_pool(
--- a/siskindale/entry/tables.py
+++ b/siskindale/entry/tables.py
@@ -59,11 +59,6 @@
     fixed_pool: str | None = None
     attempts: list[Attempt] = attrs.field(factory=list)
 
-    @property
-    def budget_s(self) -> float:
-        """Total time that the caller allows."""
-        return self.deadline - self.started_at
-
     @property
     def tried_pools(self) -> set[str]:
         """VMs whose pools the request was sent to."""
@@ -137,11 +132,12 @@
 
 @attrs.frozen
 class SendRequest:
-    """Send a request to the pool of a VM."""
+    """Send a request to the pool of a VM; `repeated` if it was sent to a pool before."""
 
     pool: str
     request: Request
     correlation_id: int
+    repeated: bool = False
 
 
 @attrs.frozen
--- a/siskindale/pool/systems/completion.py
+++ b/siskindale/pool/systems/completion.py
@@ -41,10 +41,10 @@
     connection, request = event.connection, event.connection.request
     if connection.closed or request is None:
         return []
-    ordering.record_run(request, now - request.batch_sent_at)
     connections.mark_finished(connection, now)
     tables.mark_dirty(connection.target.group)
     if isinstance(event.outcome, Success):
+        ordering.record_run(request, now - request.batch_sent_at)
         connection.target.consecutive_failures = 0
         return _batch_succeeded(tables, request, event.outcome.unwrap(), now)
     return failure.handle_failed_batch(tables, request, event.outcome.failure(), now)
--- a/siskindale/pool/systems/connections.py
+++ b/siskindale/pool/systems/connections.py
@@ -2,8 +2,6 @@
 
 from random import Random
 
-from returns.result import Success
-
 from siskindale.pool.effects import (
     CloseConnection,
     ConnectionFailed,
@@ -198,11 +196,6 @@
     return effects
 
 
-def is_success(outcome: object) -> bool:
-    """Whether a driver returned a success."""
-    return isinstance(outcome, Success)
-
-
 def release_from_request(tables: Tables, request: RequestRow) -> list[Effect]:
     """Releases the connection of a request, if it has one."""
     connection, request.connection = request.connection, None
--- a/siskindale/pool/tables.py
+++ b/siskindale/pool/tables.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from siskindale.models.bundle import Bundle, Group, StatementClass, Target, TargetState
+from siskindale.models.bundle import Bundle, Group, StatementClass, Target
 from siskindale.models.group import LogPosition, TargetStatus
 from siskindale.models.settings import Settings
 from siskindale.models.wire import (
@@ -98,7 +98,6 @@
 
     definition: Target
     group: "GroupRow"
-    state: TargetState = TargetState.ACTIVE
     slots: int = 1
     max_connections: int = 1
     running_batches: int = 0
--- a/siskindale/proxy/decisions/freshness.py
+++ b/siskindale/proxy/decisions/freshness.py
@@ -47,11 +47,6 @@
         while self.samples[0].taken_at < taken_at - SAMPLE_RETENTION_S:
             self.samples.popleft()
 
-    @property
-    def term(self) -> int:
-        """Newest term in which a primary was sampled, 0 without samples."""
-        return self.samples[-1].position.term if self.samples else 0
-
 
 def required_position(
     route: Route, freshness: Freshness, session: LogPosition | None, arrived: float
--- a/siskindale/proxy/decisions/session_state.py
+++ b/siskindale/proxy/decisions/session_state.py
@@ -15,6 +15,17 @@
     values: dict[bytes, bytes] = attrs.field(factory=dict)
     prepared: dict[bytes, PreparedStatement] = attrs.field(factory=dict)
 
+    @property
+    def count(self) -> int:
+        """Number of values and prepared statements together."""
+        return len(self.values) + len(self.prepared)
+
+    def adds_to(self, statement: Statement) -> bool:
+        """Returns whether a statement that sets or prepares uses a name that is not in use yet."""
+        if statement.verb is Verb.SET:
+            return statement.name not in self.values
+        return statement.verb is Verb.PREPARE and statement.name not in self.prepared
+
     def access_of(self, statement: Statement) -> Access | None:
         """Returns whether a statement reads or writes, None if its prepared name is unknown."""
         if statement.verb is not Verb.EXECUTE:
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -169,10 +169,9 @@
 
     def _read_request(self) -> bytes | None:
         while True:
-            holds_connection = (
-                self._transaction is not None and self._transaction.connection is not None
-            )
-            idle_timeout_s = self._state.transaction_idle_s if holds_connection else None
+            # Its connection may come while the session waits, as it starts in the background.
+            transaction_open = self._transaction is not None and not self._transaction.failed
+            idle_timeout_s = self._state.transaction_idle_s if transaction_open else None
             timeout = gevent.Timeout(idle_timeout_s)
             try:
                 with timeout:
@@ -239,11 +238,15 @@
             return self._reject_in_failed_transaction(transaction, statement)
         if statement.verb in _LOCAL_VERBS:
             return self._update_values(statement, SessionState.OPEN)
+        if statement.verb in (Verb.BEGIN, Verb.BEGIN_READ_ONLY, Verb.INVALID):
+            return self._mark_failed(
+                transaction, Reply(error=ErrorCode.MALFORMED, detail=b"not allowed here")
+            )
         access = self._values.access_of(statement)
-        if access is None or statement.verb in (Verb.BEGIN, Verb.BEGIN_READ_ONLY, Verb.INVALID):
-            transaction.failed = True
-            code = ErrorCode.MALFORMED if access is not None else ErrorCode.UNKNOWN_PREPARED
-            return Reply(error=code, detail=b"not allowed here", state=SessionState.FAILED)
+        if access is None:
+            return self._mark_failed(
+                transaction, Reply(error=ErrorCode.UNKNOWN_PREPARED, detail=statement.name)
+            )
         work = (
             StatementKind.TRANSACTION_READ
             if access is Access.READ
@@ -312,7 +315,7 @@
     def _update_values(self, statement: Statement, state: SessionState) -> Reply:
         """Changes session values or prepared statements, which the next statement sends on."""
         values = self._values
-        if len(values.values) + len(values.prepared) >= MAX_SESSION_VALUES:
+        if values.adds_to(statement) and values.count >= MAX_SESSION_VALUES:
             return Reply(error=ErrorCode.TOO_LARGE, detail=b"too many values", state=state)
         if statement.verb is Verb.SET:
             values.values[statement.name] = statement.argument
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -132,6 +132,9 @@
             )
         except EXCHANGE_ERRORS as error:
             return self._handle_broken_connection(execution, connection, error, started_at)
+        except BaseException:
+            self._pool.close_in_use(execution.group, connection)
+            raise
         self._record_reply(execution, connection, reply, started_at, prove_primary)
         if reply.error is ErrorCode.LAGGING:
             self._router.note_lagging(
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -127,8 +126,3 @@
         """
         registered = [t for t in self.targets.values() if t.entry.role is Role.PRIMARY]
         return max(registered, key=lambda t: (not t.leaving, t.entry.started_ms), default=None)
-
-
-def usable(targets: Iterable[Target]) -> list[Target]:
-    """Returns the targets that are not closed."""
-    return [target for target in targets if not target.closed]
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -215,6 +215,10 @@
             replies = [connection.receive(reply_deadline - self._pool.now()) for _ in messages]
         except EXCHANGE_ERRORS as error:
             return self._handle_broken_connection(transaction, statement, work, error, started_at)
+        except BaseException:
+            transaction.connection = None
+            self._pool.close_in_use(transaction.group, connection)
+            raise
         reply = replies[-1]
         reply.target = connection.target.id
         if reply.error is None:
--- a/siskindale/transport/mailbox.py
+++ b/siskindale/transport/mailbox.py
@@ -92,11 +92,6 @@
         """Number of messages that were malformed, had no handler or addressed another boot."""
         return self._dropped_messages
 
-    @property
-    def outbox_count(self) -> int:
-        """Number of peers with an open outbox."""
-        return len(self._outboxes)
-
     def set_handler(self, body_class: type, handler: Handler) -> None:
         """Sets the handler for messages of a class."""
         self._handlers[body_class.kind] = handler  # type: ignore[attr-defined]
--- a/tests/entry/test_api.py
+++ b/tests/entry/test_api.py
@@ -263,6 +263,11 @@
         20.0,
         "the requests of the readers arrived",
     )
+    # Encoding the large answers takes seconds on a busy machine. The bound below applies once they
+    # are being sent, because only then can a caller that does not read block others.
+    for sock in readers:
+        sock.settimeout(20.0)
+        assert sock.recv(1)
     deployment.set_behaviour(lambda pool, delivery: pool.answer(delivery))
     with gevent.Timeout(1.0):
         assert client.statement().status == 200
--- a/tests/entry/test_pools.py
+++ b/tests/entry/test_pools.py
@@ -5,8 +5,10 @@
 import attrs
 import gevent
 import pytest
+from prometheus_client import Counter
 
 from bench.processes import wait_until
+from siskindale.entry import metrics
 from siskindale.models.outcomes import RefusalKind
 from siskindale.models.wire import DrainNotice, StatementResult
 from tests.entry.harness import (
@@ -31,6 +33,11 @@
     return [len(pool.received_requests) for pool in deployment.ranked_pools]
 
 
+def read_counter(counter: Counter) -> float:
+    """Returns the value of a counter without labels."""
+    return counter.collect()[0].samples[0].value
+
+
 def dropped_answers(deployment: Deployment) -> dict[str, int]:
     """Returns the number of dropped answers by reason."""
     return dict(deployment.service.dispatcher.dropped_answers)
@@ -253,3 +260,12 @@
     assert client.statement(**UNKEYED_WRITE).status == 504
     deployment.set_behaviour(lambda pool, delivery: pool.answer(delivery, result=None, target=""))
     assert client.statement(**UNKEYED_WRITE).json == {"outcome": "done"}
+
+
+def test_resent_requests_are_counted(deployment: Deployment, client: Client) -> None:
+    """Guards against a metric of resent requests that always shows 0."""
+    deployment.ranked_pools[0].behaviour = refuse_with(RefusalKind.UNAVAILABLE)
+    sent, resent = read_counter(metrics.SENT), read_counter(metrics.RESENT)
+    assert client.statement(**UNKEYED_WRITE).status == 200
+    assert read_counter(metrics.SENT) - sent == 2
+    assert read_counter(metrics.RESENT) - resent == 1
--- a/tests/proxy/test_session_state.py
+++ b/tests/proxy/test_session_state.py
@@ -67,3 +67,13 @@
     )
     assert first == [Prepare(shared_name(prepared), prepared)]
     assert second == []
+
+
+def test_only_new_names_count_against_the_limit() -> None:
+    """Guards against a full session that cannot overwrite one of its values."""
+    values = SessionValues({b"a": b"1"}, {b"s": PreparedStatement(Access.READ, b"x")})
+    assert not values.adds_to(Statement(b"1", Verb.SET, b"", b"a", b"2"))
+    assert values.adds_to(Statement(b"1", Verb.SET, b"", b"b", b"2"))
+    assert not values.adds_to(Statement(b"1", Verb.PREPARE, b"", b"s", b"y", Access.READ))
+    assert not values.adds_to(Statement(b"1", Verb.DEALLOCATE, b"", b"t"))
+    assert values.count == 2
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -193,3 +193,25 @@
     assert client.query("READ item").rows == ()
     assert client.query("WRITE item 2").error is None
     assert client.query("READ item").rows == (b"2",)
+
+
+def test_a_transaction_without_statements_ends_at_the_idle_limit(deployment: Deployment) -> None:
+    """Guards against a client that sends BEGIN and nothing more and holds a connection."""
+    deployment.transaction_idle_ms = 200
+    deployment.configure(2)
+    proxy = deployment.start_proxy()
+    client = proxy.client()
+    assert client.query("BEGIN").state == b"T"
+    eventually(lambda: "event=transaction-aborted" in proxy.log, "the transaction is rolled back")
+    assert client.query("READ item").error == b"ABORTED"
+
+
+@pytest.mark.parametrize("text", ["BEGIN", "NONSENSE"])
+def test_a_misplaced_statement_fails_a_transaction_once(deployment: Deployment, text: str) -> None:
+    """Guards against a client that is told twice that its transaction failed, for other reasons."""
+    client = deployment.start_proxy().client()
+    assert client.query("BEGIN").state == b"T"
+    misplaced = client.query(text)
+    assert (misplaced.error, misplaced.state) == (b"MALFORMED", b"E")
+    assert client.query("READ item").error == b"MALFORMED"
+    assert client.query("ROLLBACK").state == b"I"
