--- a/siskindale/models/address.py
+++ b/siskindale/models/address.py
@@ -10,6 +10,14 @@
     host: str
     port: int
 
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Returns the address that HOST:PORT names; raises `ValueError` for anything else."""
+        host, _, port = text.rpartition(":")
+        if not host:
+            raise ValueError(f"not an address: {text!r}")
+        return cls(host, int(port))
+
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -24,7 +24,7 @@
 
     `targets_version` and `catalog_version` are the versions of the store's tables that it knows.
     `starved` lists the targets (by group and id) that have no connection left for the sender.
-    `wants_answer` asks for the receiver's own state when the sender starts.
+    `wants_answer` asks for the receiver's own state, of which the sender has not heard lately.
     """
 
     vm: str
@@ -34,7 +34,6 @@
     starved: tuple[tuple[str, str], ...] = ()
     draining: bool = False
     wants_answer: bool = False
-    known: tuple[str, ...] = ()
 
 
 @message("state-request")
--- a/siskindale/models/statements.py
+++ b/siskindale/models/statements.py
@@ -87,8 +87,8 @@
     """Complete reply of a target or of the proxy to one statement.
 
     `rows` and `receipt` are forwarded unchanged. `position` is the end of the target's log at the
-    time of the reply, absent in the proxy's own replies. `target` and `attempts` are for logs:
-    where the statement ran and how often.
+    time of the reply, absent in the proxy's own replies. `owner`, `target` and `attempts` are for
+    logs: the VM that it was forwarded to, where the statement ran and how often.
     """
 
     rows: list[bytes] = attrs.field(factory=list)
@@ -99,6 +99,7 @@
     position: LogPosition | None = None
     target: str = ""
     attempts: int = 0
+    owner: str = ""
 
     @property
     def succeeded(self) -> bool:
--- a/siskindale/models/vm.py
+++ b/siskindale/models/vm.py
@@ -9,7 +9,9 @@
 class ProxySettings:
     """Settings that the session proxy of one VM reads at start-up.
 
-    `seeds` are addresses of a few peers, which may be outdated. `drain_s` is how long a target
+    `forwarding` is the address for statements that other VMs forward. `seeds` are addresses of a
+    few peers, which may be outdated. `processor_share` of each of `cores` processors is available.
+    `drain_s` is how long a target
     serves after it was reported as leaving, `grace_s` the time between SIGTERM and SIGKILL.
     """
 
@@ -20,11 +22,19 @@
     peers: Address
     store: Address
     promotions: Address
+    forwarding: Address
     seeds: tuple[Address, ...] = ()
     drain_s: float = 7.0
     grace_s: float = 6.0
     metrics_port: int = 9464
     log_level: str = "info"
+    processor_share: float = 1.0
+    cores: int = 1
+
+    @property
+    def capacity(self) -> float:
+        """Processors that are available, in cores."""
+        return self.processor_share * self.cores
 
 
 # Fields whose changes take effect without a restart.
--- a/siskindale/proxy/decisions/connections.py
+++ b/siskindale/proxy/decisions/connections.py
@@ -65,12 +65,14 @@
     return refused_lately and target.open_count == 0
 
 
-def surplus_idle_count(target: Target, group: Group, now: float) -> int:
-    """Returns the number of idle connections to close."""
+def surplus_idle_count(
+    target: Target, group: Group, now: float, minimum: int = MIN_OPEN_CONNECTIONS
+) -> int:
+    """Returns the number of idle connections to close, so that `minimum` stay open."""
     if target.closed or (target.leaving and target.id != group.leadership.primary_id):
         return len(target.idle_connections)
     idle_limit = 0.0 if now < target.yield_until else SURPLUS_IDLE_TIMEOUT_S
     long_idle = sum(
         now - connection.used_at >= idle_limit for connection in target.idle_connections
     )
-    return max(0, min(long_idle, target.open_count - MIN_OPEN_CONNECTIONS))
+    return max(0, min(long_idle, target.open_count - minimum))
--- /dev/null
+++ b/siskindale/proxy/directory.py
@@ -0,0 +1,88 @@
+"""Directory of the fleet's VMs in the store.
+
+It lets a VM know the whole fleet as soon as it starts, also when all VMs start at once and have
+nobody to ask. Whether a VM in it is alive is found out by probes.
+"""
+
+import gevent
+import msgspec
+from returns.result import Failure
+
+from siskindale.models.members import MemberFact
+from siskindale.proxy import metrics
+from siskindale.proxy.members import Membership
+from siskindale.runtime.logs import logger
+from siskindale.store.interface import WatchedTables, Write
+
+DIRECTORY_TABLE = "members"
+RETRY_S = 0.5
+# Without the directory, VMs that start together know each other after a few exchanges.
+SETTLE_TIMEOUT_S = 1.5
+
+
+class Directory:
+    """Reads the directory once, and lists this VM in it."""
+
+    def __init__(self, tables: WatchedTables, membership: Membership) -> None:
+        self._tables = tables
+        self._membership = membership
+        self._settled = gevent.event.Event()
+
+    @property
+    def settled(self) -> bool:
+        """Whether enough of the fleet is known to tell who owns what."""
+        return self._settled.is_set()
+
+    def wait_until_settled(self, timeout_s: float) -> bool:
+        """Waits until the fleet is known; returns whether it is."""
+        return self._settled.wait(timeout_s)
+
+    def run(self) -> None:
+        """Reads the directory and lists this VM; repeats that until the store has answered."""
+        timer = gevent.spawn_later(SETTLE_TIMEOUT_S, self._settled.set)
+        while not self._join():
+            gevent.sleep(RETRY_S)
+        timer.join()
+
+    def _join(self) -> bool:
+        found = self._tables.snapshot(DIRECTORY_TABLE)
+        self._count("read", found)
+        if isinstance(found, Failure):
+            logger().info("directory-unreadable", reason=found.failure().detail)
+            return False
+        own = self._membership.table.own
+        facts = {row.key: _decode(row.value) for row in found.unwrap().rows}
+        listed = facts.get(own.vm)
+        self._membership.adopt([fact for fact in facts.values() if fact is not None])
+        logger().info("directory-read", members=len(facts), listed=listed is not None)
+        if listed is not None and _same_place(listed, own):
+            # This VM was listed by an earlier run, so the others were listed, too.
+            self._settled.set()
+            return True
+        value = msgspec.to_builtins(self._membership.table.own)
+        written = self._tables.commit([], [Write(DIRECTORY_TABLE, own.vm, value)])
+        self._count("write", written)
+        if isinstance(written, Failure):
+            logger().info("directory-not-written", reason=written.failure().detail)
+        return not isinstance(written, Failure)
+
+    @staticmethod
+    def _count(call: str, answer: object) -> None:
+        outcome = "failed" if isinstance(answer, Failure) else "done"
+        metrics.STORE_CALLS.labels(f"directory-{call}", outcome).inc()
+
+
+def _decode(value: object) -> MemberFact | None:
+    try:
+        return msgspec.convert(value, MemberFact)
+    except msgspec.ValidationError as error:
+        logger().warning("directory-row-malformed", reason=str(error))
+        return None
+
+
+def _same_place(listed: MemberFact, own: MemberFact) -> bool:
+    return (listed.peers, listed.forwarding, listed.capacity) == (
+        own.peers,
+        own.forwarding,
+        own.capacity,
+    )
--- a/siskindale/proxy/duty.py
+++ b/siskindale/proxy/duty.py
@@ -1,6 +1,7 @@
 """The failover duty: a lock with a fencing token, whose holder may order promotions."""
 
 import os
+from collections.abc import Iterable
 
 import gevent
 from returns.result import Failure
@@ -8,8 +9,10 @@
 from siskindale.membership.rendezvous import rendezvous_score
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy import metrics
-from siskindale.proxy.peers import Peers
+from siskindale.proxy.ownership import Ownership
+from siskindale.proxy.peers import Peer, Peers
 from siskindale.proxy.state import ProxyState
+from siskindale.proxy.tables import Group
 from siskindale.runtime.logs import logger
 from siskindale.store.interface import Condition, PlatformFailure, WatchedTables, Write
 
@@ -25,8 +28,9 @@
 class FailoverDuty:
     """Holder of the duty according to the store; the version of its row is the fencing token."""
 
-    def __init__(self, settings: ProxySettings, tables: WatchedTables) -> None:
+    def __init__(self, settings: ProxySettings, tables: WatchedTables, key: str = DUTY_KEY) -> None:
         self._vm = settings.vm
+        self._key = key
         self._boot = os.urandom(16).hex()
         self._tables = tables
         self._holder = ""
@@ -34,6 +38,11 @@
         self._version = 0
         self._known = False
 
+    @property
+    def key(self) -> str:
+        """Key of the duty's row."""
+        return self._key
+
     @property
     def holder(self) -> str:
         """VM that holds the duty, empty if none does."""
@@ -57,7 +66,7 @@
 
     def refresh(self) -> bool:
         """Reads the row; returns whether the store answered."""
-        found = self._tables.read(DUTY_TABLE, DUTY_KEY)
+        found = self._tables.read(DUTY_TABLE, self._key)
         self._count("read", found)
         if isinstance(found, Failure):
             logger().warning("duty-read-failed", reason=found.failure().detail)
@@ -75,7 +84,8 @@
             return False
         value = {"holder": self._vm, "boot": self._boot}
         committed = self._tables.commit(
-            [Condition(DUTY_TABLE, DUTY_KEY, self._version)], [Write(DUTY_TABLE, DUTY_KEY, value)]
+            [Condition(DUTY_TABLE, self._key, self._version)],
+            [Write(DUTY_TABLE, self._key, value)],
         )
         self._count("commit", committed)
         if isinstance(committed, Failure):
@@ -108,50 +118,87 @@
         metrics.STORE_CALLS.labels(f"duty-{call}", outcome).inc()
 
 
-def vm_rank(key: str, vm: str, peers: Peers) -> int:
-    """Returns the rank of a VM among the live ones, 0 for the first; it depends on `key`."""
+class Duties:
+    """The failover duty of each group: one for all groups while each VM owns all connections.
+
+    In a larger fleet each group has a duty of its own, because only its owners can judge it.
+    """
+
+    def __init__(
+        self, settings: ProxySettings, tables: WatchedTables, ownership: Ownership
+    ) -> None:
+        self._settings = settings
+        self._tables = tables
+        self._ownership = ownership
+        self._duties: dict[str, FailoverDuty] = {}
+
+    def of(self, group: Group) -> FailoverDuty:
+        """Returns the duty by which the primary of a group is replaced."""
+        shared = self._ownership.owns_everything(group)
+        key = DUTY_KEY if shared else f"{DUTY_KEY}/{group.name}"
+        if key not in self._duties:
+            self._duties[key] = FailoverDuty(self._settings, self._tables, key)
+        return self._duties[key]
+
+    def held(self) -> list[FailoverDuty]:
+        """Returns the duties that this VM holds."""
+        return [duty for duty in self._duties.values() if duty.token is not None]
+
+
+def vm_rank(key: str, vm: str, peers: Iterable[Peer]) -> int:
+    """Returns the rank of a VM among live peers, 0 for the first; it depends on `key`."""
     own_score = rendezvous_score(key, vm)
-    return sum(
-        rendezvous_score(key, peer.vm) > own_score for peer in peers.live() if not peer.draining
-    )
+    return sum(rendezvous_score(key, peer.vm) > own_score for peer in peers if not peer.draining)
 
 
 class DutyKeeper:
-    """Takes the duty while nobody holds it, so that a token exists before it is needed."""
+    """Takes each duty while nobody holds it, so that a token exists before it is needed."""
 
     def __init__(
-        self, settings: ProxySettings, state: ProxyState, peers: Peers, duty: FailoverDuty
+        self,
+        settings: ProxySettings,
+        state: ProxyState,
+        peers: Peers,
+        ownership: Ownership,
+        duties: Duties,
     ) -> None:
         self._settings = settings
         self._state = state
         self._peers = peers
-        self._duty = duty
-        self._orphaned_since: float | None = None
+        self._ownership = ownership
+        self._duties = duties
+        self._orphaned_since: dict[str, float] = {}
 
     def run(self) -> None:
-        """Checks regularly who holds the duty, until it is killed."""
+        """Checks regularly who holds the duties, until it is killed."""
         while True:
-            gevent.sleep(CHECK_INTERVAL_S * (1 + self._rank() * RANK_INTERVAL_SHARE))
-            if self._state.ready:
-                self._check()
-
-    def _check(self) -> None:
-        if not self._duty.known and not self._duty.refresh():
+            gevent.sleep(CHECK_INTERVAL_S)
+            if not self._state.ready:
+                continue
+            owned = [g for g in self._state.groups.values() if self._ownership.owns(g)]
+            for group in {self._duties.of(g).key: g for g in owned}.values():
+                delay_s = CHECK_INTERVAL_S * self._rank(group) * RANK_INTERVAL_SHARE
+                gevent.spawn_later(delay_s, self._check, group)
+
+    def _check(self, group: Group) -> None:
+        duty = self._duties.of(group)
+        if not duty.known and not duty.refresh():
             return
-        if self._duty.token is not None:
+        if duty.token is not None:
             return
-        if self._duty.holder in ("", self._settings.vm):
-            self._duty.take("held by an earlier start" if self._duty.holder else "vacant")
+        if duty.holder in ("", self._settings.vm):
+            duty.take("held by an earlier start" if duty.holder else "vacant")
             return
         now = self._state.now()
-        live = {peer.vm for peer in self._peers.live() if not peer.draining}
-        if self._duty.holder in live:
-            self._orphaned_since = None
+        live = {peer.vm for peer in self._peers.live_owners(group) if not peer.draining}
+        if duty.holder in live:
+            self._orphaned_since.pop(duty.key, None)
             return
-        self._orphaned_since = self._orphaned_since or now
-        if now - self._orphaned_since >= ORPHANED_TIMEOUT_S and self._rank() == 0:
-            self._orphaned_since = None
-            self._duty.take("holder is gone")
-
-    def _rank(self) -> int:
-        return vm_rank(DUTY_KEY, self._settings.vm, self._peers)
+        orphaned_since = self._orphaned_since.setdefault(duty.key, now)
+        if now - orphaned_since >= ORPHANED_TIMEOUT_S and self._rank(group) == 0:
+            del self._orphaned_since[duty.key]
+            duty.take("holder is gone")
+
+    def _rank(self, group: Group) -> int:
+        key = self._duties.of(group).key
+        return vm_rank(key, self._settings.vm, self._peers.live_owners(group))
--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -6,7 +6,8 @@
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy.decisions import failover, leadership
 from siskindale.proxy.decisions.failover import LossReports, Reason
-from siskindale.proxy.duty import FailoverDuty, vm_rank
+from siskindale.proxy.duty import Duties, vm_rank
+from siskindale.proxy.ownership import Ownership
 from siskindale.proxy.peers import Peers
 from siskindale.proxy.pool import ConnectionPool
 from siskindale.proxy.promoter import PROMOTION_TIMEOUT_S, Promoter
@@ -39,14 +40,16 @@
         state: ProxyState,
         pool: ConnectionPool,
         peers: Peers,
-        duty: FailoverDuty,
+        ownership: Ownership,
+        duties: Duties,
     ) -> None:
         self._settings = settings
         self._state = state
         self._pool = pool
         self._peers = peers
-        self._duty = duty
-        self._promoter = Promoter(settings, pool, peers, duty)
+        self._ownership = ownership
+        self._duties = duties
+        self._promoter = Promoter(settings, pool, peers, duties)
         self._watches: dict[str, GroupWatch] = {}
         peers.on_promotion(self._note_promotion)
 
@@ -55,7 +58,7 @@
         group = self._state.groups.get(notice.group)
         if group is None:
             return
-        self._duty.adopt_holder(holder, notice.fencing_token)
+        self._duties.of(group).adopt_holder(holder, notice.fencing_token)
         self._watch(group).peer_ordered_at = self._pool.now()
         if notice.accepted:
             group.leadership.pending_primary_id = notice.target
@@ -80,24 +83,23 @@
                 self._reset_after_stall(now - last)
             last = now
             for group in list(self._state.groups.values()):
-                self._tick(self._watch(group), now)
+                if self._ownership.owns(group):
+                    self._tick(self._watch(group), now)
+                elif group.targets:
+                    self._maintain(self._watch(group), now)
 
     def _reset_after_stall(self, stalled_s: float) -> None:
         logger().warning("process-stalled", stalled_ms=round(stalled_s * 1000))
         for watch in self._watches.values():
             watch.group.leadership.lost_since = None
             watch.absent_since = watch.reason_since = None
-        if self._duty.token is not None:
+        for duty in self._duties.held():
             # Another VM may have taken the duty, and calls with the old token would be refused.
-            gevent.spawn(self._duty.refresh)
+            gevent.spawn(duty.refresh)
 
     def _tick(self, watch: GroupWatch, now: float) -> None:
         group = watch.group
-        if now - watch.maintained_at >= MAINTENANCE_INTERVAL_S:
-            watch.maintained_at = now
-            if leadership.adopt_registered_primary(group):
-                self._pool.dispatch(group)
-            self._pool.maintain(group)
+        self._maintain(watch, now)
         primary = group.primary
         self._update_absence(watch, primary, now)
         if (
@@ -112,6 +114,14 @@
         self._expire_pending_promotion(watch, now)
         self._replace_if_needed(watch, now)
 
+    def _maintain(self, watch: GroupWatch, now: float) -> None:
+        if now - watch.maintained_at < MAINTENANCE_INTERVAL_S:
+            return
+        watch.maintained_at = now
+        if leadership.adopt_registered_primary(watch.group):
+            self._pool.dispatch(watch.group)
+        self._pool.maintain(watch.group)
+
     def _is_probe_due(self, watch: GroupWatch, primary: Target, now: float) -> bool:
         if self._pool.drop_closed(watch.group, primary):
             self._pool.open_in_background(watch.group, primary)
@@ -173,8 +183,8 @@
         watch.reason_since = watch.reason_since or now
         if watch.replacing or group.leadership.pending_primary_id:
             return
-        holds_duty = self._duty.token is not None
-        own_rank = vm_rank(group.name, self._settings.vm, self._peers)
+        holds_duty = self._duties.of(group).token is not None
+        own_rank = vm_rank(group.name, self._settings.vm, self._peers.live_owners(group))
         if not failover.may_order_promotion(
             holds_duty, own_rank, watch.reason_since, watch.peer_ordered_at, now
         ):
@@ -184,13 +194,13 @@
 
     def _loss_reports(self, group: Group) -> LossReports:
         known_leadership = group.leadership
-        peers = self._peers.peers_reporting_loss(group.name, known_leadership.primary_id)
+        peers = self._peers.peers_reporting_loss(group, known_leadership.primary_id)
         own_loss = known_leadership.lost_since is not None
         refused = sum(
             any(loss.refused for loss in peer.losses if loss.group == group.name) for peer in peers
         )
         return LossReports(
-            live_vms=1 + len(self._peers.live()),
+            live_vms=1 + len(self._peers.live_owners(group)),
             lost=len(peers) + own_loss,
             refused=refused + (own_loss and known_leadership.connection_refused),
         )
--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -19,6 +19,8 @@
 # A VM that gets no notice still learns of a draining target within the time for which it serves.
 TARGETS_INTERVAL_S = 5.0
 RETRY_S = 0.5
+# A VM that becomes an owner of connections has to know their targets at once.
+NEED_CHECK_INTERVAL_S = 0.1
 # Running targets register again within about two seconds after the store is available again.
 MISSING_TIMEOUT_S = 3.0
 
@@ -108,15 +110,20 @@
         state: ProxyState,
         ask_peers: Callable[[], None],
         notify_peers: Callable[[], None],
+        needed: Callable[[], bool],
     ) -> None:
         self._follower = TableFollower(tables, TARGETS_TABLE, 0)
+        self._needed = needed
         self._state = state
         self._ask_peers = ask_peers
         self._notify_peers = notify_peers
 
     def run(self) -> None:
-        """Follows until it is killed."""
+        """Follows while this VM uses targets, until it is killed."""
         while True:
+            if not self._needed():
+                gevent.sleep(NEED_CHECK_INTERVAL_S)
+                continue
             succeeded = self._follow_once()
             gevent.sleep(TARGETS_INTERVAL_S if succeeded else RETRY_S)
 
--- /dev/null
+++ b/siskindale/proxy/members.py
@@ -0,0 +1,296 @@
+"""Membership of the fleet: datagrams by which VMs learn of each other and notice losses."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any
+
+import attrs
+import gevent
+from gevent import socket
+from gevent.event import Event
+from returns.result import Failure
+
+from siskindale.context import Clock
+from siskindale.models.address import Address
+from siskindale.models.members import (
+    MemberFact,
+    MemberFacts,
+    MemberIndirectPing,
+    MemberPing,
+    MemberPingAnswer,
+)
+from siskindale.models.messages import Body, Envelope
+from siskindale.models.vm import ProxySettings
+from siskindale.proxy import metrics
+from siskindale.proxy.decisions.membership import MemberTable
+from siskindale.runtime.logs import logger
+from siskindale.transport import codec
+
+PROBE_INTERVAL_S = 1.0
+# A VM whose answer takes longer is asked through others before it is suspected.
+DIRECT_TIMEOUT_S = 0.25
+INDIRECT_TIMEOUT_S = 0.5
+INDIRECT_PROBES = 2
+JOIN_INTERVAL_S = 0.3
+# News are collected for this long before they are passed on, since they come in bursts.
+NEWS_DELAY_S = 0.05
+NEWS_FANOUT = 3
+NEWS_PER_DATAGRAM = 12
+MAX_DATAGRAM_BYTES = 8192
+# Tables may differ while news spread; only a difference that lasts calls for a complete exchange.
+QUIET_BEFORE_SYNC_S = 1.5
+# If a wait takes this much longer than planned, this VM was paused, and silence proves nothing.
+STALL_THRESHOLD_S = 0.5
+
+CatalogVersion = Callable[[], int]
+CatalogHandler = Callable[[str], None]
+
+
+@attrs.define
+class _Probe:
+    """A question that waits for its answer; `relay_to` asked for it on behalf of another probe."""
+
+    answered: Event = attrs.field(factory=Event)
+    relay_to: Address | None = None
+    relayed_id: int = 0
+
+
+class Membership:
+    """Knows the VMs of the fleet and tells them of this one."""
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        clock: Clock,
+        random: Random,
+        catalog_version: CatalogVersion,
+        on_newer_catalog: CatalogHandler,
+    ) -> None:
+        own = MemberFact(
+            vm=settings.vm,
+            failure_domain=settings.failure_domain,
+            peers=settings.peers,
+            forwarding=settings.forwarding,
+            capacity=settings.capacity,
+            boot=f"{random.getrandbits(32):08x}",
+            incarnation=int(clock.time()),
+        )
+        self._table = MemberTable(own, random)
+        self._clock = clock
+        self._seeds = _other_addresses(settings)
+        self._catalog_version = catalog_version
+        self._on_newer_catalog = on_newer_catalog
+        self._socket: Any = None
+        self._probes: dict[int, _Probe] = {}
+        self._next_id = 0
+        self._news = Event()
+        self._changed_at = clock.monotonic()
+        self._synced_at = 0.0
+
+    @property
+    def table(self) -> MemberTable:
+        """Facts on all members."""
+        return self._table
+
+    def reload(self, settings: ProxySettings) -> None:
+        """Applies changed seeds."""
+        self._seeds = _other_addresses(settings)
+
+    def start(self) -> None:
+        """Starts to listen for datagrams and to probe other VMs."""
+        address = self._table.own.peers
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((address.host, address.port))
+        for task in (self._receive, self._probe_members, self._spread_news):
+            gevent.spawn(task)
+
+    def adopt(self, facts: Sequence[MemberFact]) -> None:
+        """Applies facts from another source, such as the store."""
+        self._merge(facts)
+
+    def drain(self) -> None:
+        """Tells the fleet that this VM takes no new work any more."""
+        self._table.drain(self._clock.monotonic())
+        self._note_news()
+        self._send_news()
+
+    def _probe_members(self) -> None:
+        while True:
+            target = self._table.next_to_probe()
+            if target is None:
+                self._join()
+                gevent.sleep(JOIN_INTERVAL_S)
+                continue
+            started_at = self._clock.monotonic()
+            self._probe(target)
+            self._expire(started_at)
+            elapsed_s = self._clock.monotonic() - started_at
+            gevent.sleep(max(0.05, PROBE_INTERVAL_S - elapsed_s))
+
+    def _join(self) -> None:
+        for seed in self._seeds:
+            self._send(seed, self._ping(wants_all=True), self._add_probe(_Probe()))
+
+    def _probe(self, target: MemberFact) -> None:
+        """Asks one VM whether it is alive, directly and then through others."""
+        started_at = self._clock.monotonic()
+        probe = _Probe()
+        probe_id = self._add_probe(probe)
+        self._send(target.peers, self._ping(wants_all=self._needs_sync()), probe_id)
+        if not probe.answered.wait(DIRECT_TIMEOUT_S):
+            for helper in self._table.sample(INDIRECT_PROBES, {target.vm}):
+                self._send(helper.peers, MemberIndirectPing(target.peers), probe_id)
+            probe.answered.wait(INDIRECT_TIMEOUT_S)
+        self._probes.pop(probe_id, None)
+        now = self._clock.monotonic()
+        stalled = now - started_at > DIRECT_TIMEOUT_S + INDIRECT_TIMEOUT_S + STALL_THRESHOLD_S
+        if stalled:
+            self._table.restart_suspicions(now)
+        elif not probe.answered.is_set() and self._table.suspect(target.vm, now):
+            logger().info("member-suspected", member=target.vm)
+            self._note_news()
+
+    def _expire(self, started_at: float) -> None:
+        now = self._clock.monotonic()
+        for fact in self._table.expire_suspects(now):
+            logger().info("member-gone", member=fact.vm, incarnation=fact.incarnation)
+            self._note_news()
+        self._table.forget_gone(now)
+        metrics.MEMBERS.value = len(self._table.members())
+
+    def _needs_sync(self) -> bool:
+        """Returns whether an earlier answer showed a table that still differs from this one."""
+        now = self._clock.monotonic()
+        if not self._differs or now - self._changed_at < QUIET_BEFORE_SYNC_S:
+            return False
+        self._differs = False
+        return now - self._synced_at >= QUIET_BEFORE_SYNC_S
+
+    _differs = False
+
+    def _spread_news(self) -> None:
+        while True:
+            self._news.wait()
+            gevent.sleep(NEWS_DELAY_S)
+            self._news.clear()
+            self._send_news()
+
+    def _send_news(self) -> None:
+        facts = self._table.take_news(NEWS_PER_DATAGRAM)
+        if not facts:
+            return
+        for member in self._table.sample(NEWS_FANOUT):
+            self._send(member.peers, MemberFacts(facts))
+        if any(row.transmissions_left for row in self._table.rows.values()):
+            self._news.set()
+
+    def _note_news(self) -> None:
+        self._changed_at = self._clock.monotonic()
+        self._news.set()
+
+    def _merge(self, facts: Sequence[MemberFact]) -> None:
+        changed = self._table.merge(facts, self._clock.monotonic())
+        for fact in changed:
+            event = "member-changed" if fact.vm != self._table.own.vm else "member-refuted"
+            logger().debug(event, member=fact.vm, state=fact.state.name.lower())
+        if changed:
+            self._note_news()
+
+    def _ping(self, wants_all: bool = False) -> MemberPing:
+        own = self._table.own
+        news = (own, *self._table.take_news(NEWS_PER_DATAGRAM))
+        return MemberPing(news, self._table.digest, self._catalog_version(), wants_all)
+
+    def _receive(self) -> None:
+        while True:
+            data, _ = self._socket.recvfrom(1 << 16)
+            decoded = codec.decode_message(data)
+            if isinstance(decoded, Failure):
+                logger().warning("datagram-malformed", reason=decoded.failure())
+                continue
+            envelope, body = decoded.unwrap()
+            metrics.DATAGRAMS.labels("received").inc()
+            handler = self._handlers.get(type(body))
+            if handler is not None:
+                handler(self, envelope, body)
+
+    def _on_ping(self, envelope: Envelope, ping: MemberPing) -> None:
+        self._merge(ping.facts)
+        sender = Address.parse(envelope.reply_to)
+        known = self._table.fact(envelope.sender)
+        corrections = (known,) if known is not None and known not in ping.facts else ()
+        facts = (*corrections, self._table.own, *self._table.take_news(NEWS_PER_DATAGRAM))
+        answer = MemberPingAnswer(facts, self._table.digest, self._catalog_version())
+        self._send(sender, answer, envelope.correlation_id)
+        if ping.wants_all:
+            self._send_all(sender)
+        self._check_catalog(envelope, ping.catalog_version)
+
+    def _on_ping_answer(self, envelope: Envelope, answer: MemberPingAnswer) -> None:
+        self._merge(answer.facts)
+        self._differs = answer.digest != self._table.digest
+        probe = self._probes.get(envelope.correlation_id)
+        if probe is None:
+            return
+        if probe.relay_to is not None:
+            del self._probes[envelope.correlation_id]
+            self._send(probe.relay_to, answer, probe.relayed_id)
+        probe.answered.set()
+        self._check_catalog(envelope, answer.catalog_version)
+
+    def _on_indirect_ping(self, envelope: Envelope, request: MemberIndirectPing) -> None:
+        relay_to = Address.parse(envelope.reply_to)
+        probe = _Probe(relay_to=relay_to, relayed_id=envelope.correlation_id)
+        probe_id = self._add_probe(probe)
+        self._send(request.address, self._ping(), probe_id)
+        gevent.spawn_later(INDIRECT_TIMEOUT_S, self._probes.pop, probe_id, None)
+
+    def _on_facts(self, _: Envelope, message: MemberFacts) -> None:
+        self._merge(message.facts)
+
+    _handlers: dict[type, Callable[[Any, Envelope, Any], None]] = {
+        MemberPing: _on_ping,
+        MemberPingAnswer: _on_ping_answer,
+        MemberIndirectPing: _on_indirect_ping,
+        MemberFacts: _on_facts,
+    }
+
+    def _check_catalog(self, envelope: Envelope, version: int) -> None:
+        if version > self._catalog_version():
+            self._on_newer_catalog(Address.parse(envelope.reply_to).inbox_url)
+
+    def _send_all(self, receiver: Address) -> None:
+        """Sends all facts in as many datagrams as they need."""
+        facts = [row.fact for row in self._table.rows.values()]
+        self._synced_at = self._clock.monotonic()
+        for start in range(0, len(facts), NEWS_PER_DATAGRAM):
+            self._send(receiver, MemberFacts(tuple(facts[start : start + NEWS_PER_DATAGRAM])))
+
+    def _add_probe(self, probe: _Probe) -> int:
+        self._next_id += 1
+        self._probes[self._next_id] = probe
+        return self._next_id
+
+    def _send(self, receiver: Address, body: Body, correlation_id: int = 0) -> None:
+        own = self._table.own
+        envelope = Envelope(
+            kind=body.kind,
+            sender=own.vm,
+            sender_boot=own.boot,
+            reply_to=str(own.peers),
+            correlation_id=correlation_id,
+            sent_at=self._clock.monotonic(),
+            body=codec.encode_body(body),
+        )
+        data = codec.encode_envelope(envelope)
+        try:
+            self._socket.sendto(data, (receiver.host, receiver.port))
+        except OSError as error:
+            # A lost datagram is repeated by the protocol; an address without a route is no member.
+            logger().debug("datagram-not-sent", receiver=str(receiver), reason=repr(error))
+            return
+        metrics.DATAGRAMS.labels("sent").inc()
+
+
+def _other_addresses(settings: ProxySettings) -> list[Address]:
+    return [seed for seed in settings.seeds if seed != settings.peers]
--- a/siskindale/proxy/metrics.py
+++ b/siskindale/proxy/metrics.py
@@ -22,3 +22,9 @@
 )
 PROMOTIONS = Metric("siskindale_promotions", "Calls that order a promotion", ("outcome",))
 STORE_CALLS = Metric("siskindale_store_calls", "Calls to the store", ("call", "outcome"))
+MEMBERS = Metric(
+    "siskindale_members", "Members of the fleet that are not gone", gauge=True
+).labels()
+DATAGRAMS = Metric("siskindale_member_datagrams", "Datagrams of the membership", ("direction",))
+FORWARDED = Metric("siskindale_forwarded", "Messages forwarded to owners", ("kind",))
+LINKS_OPENED = Metric("siskindale_links_opened", "Links to owners that were opened").labels()
--- /dev/null
+++ b/siskindale/proxy/ownership.py
@@ -0,0 +1,47 @@
+"""Owners of each group's connections, cached until a member or a limit changes."""
+
+from siskindale.models.members import MemberFact
+from siskindale.proxy.decisions import ownership
+from siskindale.proxy.decisions.membership import MemberTable
+from siskindale.proxy.tables import Group
+
+
+class Ownership:
+    """Tells which VMs own the connections of a group."""
+
+    def __init__(self, table: MemberTable) -> None:
+        self._table = table
+        self._version = -1
+        self._owners: dict[tuple[str, int], list[MemberFact]] = {}
+
+    @property
+    def own_vm(self) -> str:
+        """Name of this VM."""
+        return self._table.own.vm
+
+    def owners(self, group: Group) -> list[MemberFact]:
+        """Returns the owners of a group, best first."""
+        if self._version != self._table.version:
+            self._version = self._table.version
+            self._owners.clear()
+        key = (group.name, group.limits.max_connections)
+        found = self._owners.get(key)
+        if found is None:
+            # A VM that drains or knows nobody else still serves its own clients.
+            members = self._table.serving() or [self._table.own]
+            found = self._owners[key] = ownership.owners(*key[:1], members, key[1])
+        return found
+
+    def owns(self, group: Group) -> bool:
+        """Returns whether this VM owns the connections of a group."""
+        return self.owns_everything(group) or any(
+            member.vm == self.own_vm for member in self.owners(group)
+        )
+
+    def owns_everything(self, group: Group) -> bool:
+        """Returns whether each VM owns the connections of a group."""
+        return ownership.owns_everything(len(self._table.serving()), group.limits.max_connections)
+
+    def candidates(self, group: Group) -> list[MemberFact]:
+        """Returns the VMs to which this one forwards statements, best first."""
+        return ownership.order_for(self._table.own.failure_domain, self.owners(group))
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -1,4 +1,4 @@
-"""Gossip with the other session proxies of the deployment."""
+"""Gossip among the VMs that own the connections of the same groups."""
 
 from __future__ import annotations
 
@@ -23,6 +23,9 @@
 from siskindale.models.messages import Body
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy.decisions.connections import is_starved
+from siskindale.proxy.decisions.ownership import FULL_OWNERSHIP_VMS
+from siskindale.proxy.members import Membership
+from siskindale.proxy.ownership import Ownership
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group, Target
 from siskindale.runtime.logs import logger
@@ -41,11 +44,12 @@
 SAMPLE_INTERVAL_S = 0.1
 SAMPLE_TIMEOUT_S = 2.0
 SAMPLE_PEERS = 3
+STATE_PEERS = 3
 
 
 @attrs.define
 class Peer:
-    """Another VM, as described by its last message at `heard_at`."""
+    """Another owner, as described by its last message at `heard_at`."""
 
     vm: str
     url: str
@@ -56,19 +60,26 @@
 
 
 class Peers:
-    """The other VMs of the deployment, discovered through seeds and through each other."""
+    """The other owners of the groups whose connections this VM owns.
+
+    In a small fleet each VM owns all connections, so that these are all other VMs.
+    """
 
     def __init__(
         self,
         settings: ProxySettings,
         clock: Clock,
         state: ProxyState,
+        membership: Membership,
+        ownership: Ownership,
         yield_connections: Callable[[Group, Target], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._mailbox: Mailbox | None = None
         self._state = state
+        self._membership = membership
+        self._ownership = ownership
         self._yield_connections = yield_connections
         self._promotion_handler: Callable[[PromotionNotice, str], None] | None = None
         self._peers: dict[str, Peer] = {}
@@ -100,16 +111,23 @@
         heard_after = self._clock.monotonic() - LIVE_TIMEOUT_S
         return [peer for peer in self._peers.values() if peer.heard_at >= heard_after]
 
-    def vm_count(self) -> int:
-        """Returns the number of VMs that share connections to targets, this one included."""
-        return 1 + sum(not peer.draining for peer in self.live())
+    def live_owners(self, group: Group) -> list[Peer]:
+        """Returns the live peers that own the connections of a group."""
+        if self._ownership.owns_everything(group):
+            return self.live()
+        owners = {member.vm for member in self._ownership.owners(group)}
+        return [peer for peer in self.live() if peer.vm in owners]
+
+    def vm_count(self, group: Group) -> int:
+        """Returns the number of VMs that share the connections of a group, this one included."""
+        return 1 + sum(not peer.draining for peer in self.live_owners(group))
 
-    def peers_reporting_loss(self, group: str, target: str) -> list[Peer]:
+    def peers_reporting_loss(self, group: Group, target: str) -> list[Peer]:
         """Returns the live peers that report `target` as the lost primary of a group."""
         return [
             peer
-            for peer in self.live()
-            if any(loss.group == group and loss.target == target for loss in peer.losses)
+            for peer in self.live_owners(group)
+            if any(loss.group == group.name and loss.target == target for loss in peer.losses)
         ]
 
     def run(self) -> None:
@@ -152,8 +170,17 @@
         if now < self._state_requested_at + REQUEST_INTERVAL_S:
             return
         self._state_requested_at = now
-        known = [peer.url for peer in self.live()] or sorted(self._seeds)
-        for url in known[:3]:
+        live = [peer.url for peer in self.live()]
+        others = [m.peers.inbox_url for m in self._membership.table.sample(STATE_PEERS)]
+        known = [*live, *others] or sorted(self._seeds)
+        for url in list(dict.fromkeys(known))[:STATE_PEERS]:
+            self._send(url, StateRequest())
+
+    def request_state_from(self, url: str) -> None:
+        """Asks one VM for its state, at a limited rate."""
+        now = self._clock.monotonic()
+        if now >= self._state_requested_at + REQUEST_INTERVAL_S:
+            self._state_requested_at = now
             self._send(url, StateRequest())
 
     def request_sample(self, group: str) -> None:
@@ -162,7 +189,9 @@
         if now < self._sample_requested_at.get(group, 0.0) + SAMPLE_INTERVAL_S:
             return
         self._sample_requested_at[group] = now
-        recipients = sorted(self.live(), key=lambda peer: peer.draining)[:SAMPLE_PEERS]
+        known_group = self._state.groups.get(group)
+        live = self.live_owners(known_group) if known_group else []
+        recipients = sorted(live, key=lambda peer: peer.draining)[:SAMPLE_PEERS]
         for peer in recipients:
             correlation_id = next(self._correlation_ids)
             self._sample_requests[correlation_id] = now
@@ -221,14 +250,24 @@
 
     def _announce(self, losses: tuple[Loss, ...]) -> None:
         self._forget_silent()
-        urls = {peer.url for peer in self._peers.values()}
-        for url in urls | self._seeds:
-            unknown = url not in urls
-            self._send(url, self._gossip(losses, wants_answer=unknown, include_known=unknown))
-
-    def _gossip(
-        self, losses: tuple[Loss, ...], wants_answer: bool, include_known: bool = True
-    ) -> Gossip:
+        heard_from = {peer.url for peer in self.live()}
+        for url in self._co_owner_urls():
+            self._send(url, self._gossip(losses, wants_answer=url not in heard_from))
+
+    def _co_owner_urls(self) -> set[str]:
+        """Returns the inboxes of all VMs that own connections of the same groups as this one."""
+        groups = list(self._state.groups.values())
+        table = self._membership.table
+        if not groups or any(self._ownership.owns_everything(group) for group in groups):
+            members = table.others()
+            if len(members) >= FULL_OWNERSHIP_VMS:
+                return set()
+        else:
+            owned = [group for group in groups if self._ownership.owns(group)]
+            members = [m for group in owned for m in self._ownership.owners(group)]
+        return {m.peers.inbox_url for m in members if m.vm != table.own.vm}
+
+    def _gossip(self, losses: tuple[Loss, ...], wants_answer: bool) -> Gossip:
         return Gossip(
             vm=self._settings.vm,
             catalog_version=self._state.catalog_version,
@@ -237,7 +276,6 @@
             starved=self._starved(),
             draining=self.draining,
             wants_answer=wants_answer,
-            known=tuple(peer.url for peer in self.live()) if include_known else (),
         )
 
     def _send(
@@ -270,15 +308,9 @@
         self._yield_to_starved(gossip.starved)
         if gossip.wants_answer:
             self._send(url, self._gossip(self._losses(), wants_answer=False))
-        self._contact_unknown(gossip.known)
         if gossip.catalog_version > self._state.catalog_version or not self._state.ready:
             self.request_state()
 
-    def _contact_unknown(self, urls: tuple[str, ...]) -> None:
-        known = {peer.url for peer in self._peers.values()} | {self._settings.peers.inbox_url}
-        for url in set(urls) - known - self._seeds:
-            self._send(url, self._gossip((), wants_answer=True))
-
     def _on_state_request(self, delivery: Delivery) -> None:
         state = self._state
         catalog = dict(state.raw_catalog) if state.raw_catalog is not None else None
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -40,13 +40,15 @@
         settings: ProxySettings,
         clock: Clock,
         groups: dict[str, Group],
-        vm_count: Callable[[], int],
+        vm_count: Callable[[Group], int],
+        owns: Callable[[Group], bool],
         notify_peers: Callable[[], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._groups = groups
         self._vm_count = vm_count
+        self._owns = owns
         self._notify_peers = notify_peers
 
     def reload(self, settings: ProxySettings) -> None:
@@ -157,12 +159,13 @@
     def maintain(self, group: Group) -> None:
         """Opens connections up to the minimum of each target, and closes surplus idle ones."""
         now = self.now()
+        owned = self._owns(group)
         for target in list(group.targets.values()):
+            minimum = connections.min_open_connections(target, group) if owned else 0
             for connection in self._remove_oldest_idle(
-                target, connections.surplus_idle_count(target, group, now)
+                target, connections.surplus_idle_count(target, group, now, minimum)
             ):
                 self.discard(group, connection)
-            minimum = connections.min_open_connections(target, group)
             if target.open_count + target.opening_count < minimum and not target.opening_count:
                 self._start_opening(group, target)
         self.dispatch(group)
@@ -202,7 +205,8 @@
     def _open_for(self, group: Group, waiter: Waiter) -> None:
         now = self.now()
         candidates = self._candidates(group, waiter)
-        openable = [t for t in candidates if connections.may_open(t, group, self._vm_count(), now)]
+        vm_count = self._vm_count(group)
+        openable = [t for t in candidates if connections.may_open(t, group, vm_count, now)]
         if openable and sum(t.opening_count for t in candidates) < len(group.waiters):
             self._start_opening(group, openable[0])
 
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 from collections.abc import Callable
+from random import Random
 from typing import TextIO, cast
 
 import gevent
@@ -13,19 +14,29 @@
 from returns.result import Failure, Result
 
 from siskindale.config.findings import Finding
-from siskindale.context import Environment, SuspendAwareClock
+from siskindale.context import Clock, Environment, SuspendAwareClock
 from siskindale.exits import ExitStatus
 from siskindale.models.address import Address
 from siskindale.models.vm import RELOADABLE, ProxySettings, changed_fields
 from siskindale.platform.store import PlatformStore
-from siskindale.proxy.duty import DutyKeeper, FailoverDuty
+from siskindale.proxy.directory import Directory
+from siskindale.proxy.duty import Duties, DutyKeeper
 from siskindale.proxy.failover import Failover
 from siskindale.proxy.followers import CatalogFollower, TargetsFollower
+from siskindale.proxy.forwarding import (
+    ForwardingStatementRunner,
+    ForwardingTransactionRunner,
+    OwnerSelector,
+)
+from siskindale.proxy.links import Links
+from siskindale.proxy.members import Membership
+from siskindale.proxy.owner import ForwardingServer
+from siskindale.proxy.ownership import Ownership
 from siskindale.proxy.peers import Peers
 from siskindale.proxy.pool import ConnectionPool
 from siskindale.proxy.routing import Router
+from siskindale.proxy.runners import Runners
 from siskindale.proxy.server import SessionServer, metrics_server, readiness_server
-from siskindale.proxy.session import Runners
 from siskindale.proxy.shutdown import drain
 from siskindale.proxy.single import StatementRunner
 from siskindale.proxy.state import ProxyState
@@ -54,22 +65,59 @@
         self._settings = settings
         self._clock = clock
         self._stopping = Event()
-        self._pool = ConnectionPool(settings, clock, groups, self._vm_count, self._notify_peers)
+        self._membership = Membership(
+            settings,
+            clock,
+            Random(),
+            lambda: self._state.catalog_version,
+            lambda url: self._peers.request_state_from(url),
+        )
+        self._ownership = ownership = Ownership(self._membership.table)
+        self._pool = ConnectionPool(
+            settings, clock, groups, self._vm_count, ownership.owns, self._notify_peers
+        )
         self._state = ProxyState(settings, clock, groups, self._pool)
-        self._peers = Peers(settings, clock, self._state, self._pool.yield_connections)
+        self._state.needs_targets_if(self._owns_any)
+        self._peers = Peers(
+            settings,
+            clock,
+            self._state,
+            self._membership,
+            ownership,
+            self._pool.yield_connections,
+        )
         store = PlatformStore(settings.store)
-        duty = FailoverDuty(settings, store)
-        self._failover = Failover(settings, self._state, self._pool, self._peers, duty)
-        self._duty = DutyKeeper(settings, self._state, self._peers, duty)
+        self._directory = Directory(store, self._membership)
+        duties = Duties(settings, store, ownership)
+        self._failover = Failover(settings, self._state, self._pool, self._peers, ownership, duties)
+        self._duty = DutyKeeper(settings, self._state, self._peers, ownership, duties)
         self._catalog = CatalogFollower(store, self._state, self._peers.announce_soon)
         self._targets = TargetsFollower(
-            store, self._state, self._peers.request_state, self._peers.notify_targets
+            store,
+            self._state,
+            self._peers.request_state,
+            self._peers.notify_targets,
+            lambda: self._directory.settled and self._owns_any(),
         )
+        self._runners = self._build_runners(settings, clock)
+        self._server = SessionServer(settings.clients, self._state, self._runners, listener)
+        self._forwarding = ForwardingServer(settings, self._state, ownership, self._runners)
+
+    def _build_runners(self, settings: ProxySettings, clock: Clock) -> Runners:
         router = Router(self._pool, self._peers.request_sample)
-        runners = Runners(
-            StatementRunner(self._pool, router), TransactionRunner(self._pool, router)
+        self._links = Links(clock)
+        selector = OwnerSelector(self._ownership, self._links)
+        return Runners(
+            StatementRunner(self._pool, router),
+            TransactionRunner(self._pool, router),
+            ForwardingStatementRunner(selector, self._state),
+            ForwardingTransactionRunner(selector, self._state),
+            self._ownership.owns,
+            self._directory.wait_until_settled,
         )
-        self._server = SessionServer(settings.clients, self._state, runners, listener)
+
+    def _owns_any(self) -> bool:
+        return any(self._ownership.owns(group) for group in self._state.groups.values())
 
     def run(self) -> ExitStatus:
         """Serves until SIGTERM, then drains."""
@@ -80,7 +128,10 @@
         address = self._settings.readiness
         readiness_server(address, self._is_ready).start()
         self._serve_metrics(Address(address.host, self._settings.metrics_port))
+        self._membership.start()
+        self._forwarding.start()
         for background_task in (
+            self._directory.run,
             self._catalog.run,
             self._targets.run,
             self._exchange_state,
@@ -114,16 +165,18 @@
 
     def _stop(self) -> None:
         logger().info("stopping", sessions=len(self._server.sessions))
+        self._membership.drain()
         self._peers.draining = True
         self._peers.announce()
         drain(self._settings, self._server, self._clock.monotonic())
         logger().info("stopped")
 
     def _is_ready(self) -> bool:
-        return self._state.ready and not self._stopping.is_set()
+        ready = self._state.ready and self._directory.settled
+        return ready and not self._stopping.is_set()
 
-    def _vm_count(self) -> int:
-        return self._peers.vm_count()
+    def _vm_count(self, group: Group) -> int:
+        return self._peers.vm_count(group)
 
     def _notify_peers(self) -> None:
         self._peers.announce()
@@ -144,6 +197,7 @@
         self._settings = settings
         self._pool.reload(settings)
         self._peers.reload(settings)
+        self._membership.reload(settings)
 
 
 def run(
--- a/siskindale/proxy/promoter.py
+++ b/siskindale/proxy/promoter.py
@@ -8,7 +8,7 @@
 from siskindale.proxy import metrics
 from siskindale.proxy.decisions import failover
 from siskindale.proxy.decisions.failover import Reason, UnansweredPromotion
-from siskindale.proxy.duty import FailoverDuty
+from siskindale.proxy.duty import Duties
 from siskindale.proxy.peers import Peers
 from siskindale.proxy.pool import ConnectionPool
 from siskindale.proxy.positions import received_positions
@@ -27,18 +27,19 @@
     """Chooses successors, orders their promotion and waits until they lead."""
 
     def __init__(
-        self, settings: ProxySettings, pool: ConnectionPool, peers: Peers, duty: FailoverDuty
+        self, settings: ProxySettings, pool: ConnectionPool, peers: Peers, duties: Duties
     ) -> None:
         self._pool = pool
         self._peers = peers
-        self._duty = duty
+        self._duties = duties
         self._promotions = PromotionClient(settings.promotions, settings.vm)
 
     def promote(self, watch: GroupWatch, reason: Reason) -> None:
         """Replaces the primary of a group; returns when its successor leads or on failure."""
         group = watch.group
         started_at = self._pool.now()
-        if self._duty.token is None and not self._duty.take(f"{group.name}: {reason.value}"):
+        duty = self._duties.of(group)
+        if duty.token is None and not duty.take(f"{group.name}: {reason.value}"):
             gevent.sleep(RETRY_S)
             return
         received = received_positions(self._pool, group)
@@ -50,7 +51,7 @@
             old=group.leadership.primary_id,
             successors=",".join(target.id for target in successors),
             positions=",".join(f"{name}:{position}" for name, position in received.items()),
-            fencing_token=self._duty.token,
+            fencing_token=duty.token,
         )
         if not successors:
             gevent.sleep(RETRY_S)
@@ -75,11 +76,13 @@
             if outcome is PromotionOutcome.ACCEPTED or group.leadership.primary_id == successor.id:
                 return True
             if outcome is PromotionOutcome.REJECTED:
-                self._duty.refresh()
+                self._duties.of(group).refresh()
                 successor.avoid_until = self._pool.now() + RETRY_S
                 return False
             if outcome is PromotionOutcome.UNKNOWN:
-                watch.unanswered = UnansweredPromotion(successor.id, self._duty.token or 0)
+                watch.unanswered = UnansweredPromotion(
+                    successor.id, self._duties.of(group).token or 0
+                )
             else:
                 gevent.sleep(RETRY_S)
             if successor.leaving or successor.connection_refused:
@@ -91,19 +94,20 @@
 
         For that it takes the duty with a new token, if such a call is unanswered.
         """
-        unanswered, token = watch.unanswered, self._duty.token
+        duty = self._duties.of(watch.group)
+        unanswered, token = watch.unanswered, duty.token
         if (
             token is None
             or unanswered is None
             or not failover.could_override(unanswered, successor, token)
         ):
             return token is not None
-        return self._duty.take("earlier call without an answer")
+        return duty.take("earlier call without an answer")
 
     def _order_promotion(
         self, group: Group, successor: Target, timeout_s: float
     ) -> PromotionOutcome:
-        token = self._duty.token
+        token = self._duties.of(group).token
         if token is None:
             return PromotionOutcome.REJECTED
         self._peers.notify_promotion(PromotionNotice(group.name, successor.id, token, False))
--- a/siskindale/proxy/reporting.py
+++ b/siskindale/proxy/reporting.py
@@ -32,6 +32,7 @@
         route=route.name if route else "",
         verb=statement.verb.value,
         target=reply.target,
+        **({"owner": reply.owner} if reply.owner else {}),
         attempts=reply.attempts,
         took_ms=round(took_s * 1000, 1),
         catalog_version=catalog_version,
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -11,7 +11,8 @@
 from siskindale.platform.readiness import READINESS_PATH
 from siskindale.proxy import metrics
 from siskindale.proxy.listening import ACCEPT_BACKLOG
-from siskindale.proxy.session import ClientSession, Runners
+from siskindale.proxy.runners import Runners
+from siskindale.proxy.session import ClientSession
 from siskindale.proxy.state import ProxyState
 from siskindale.transport.http_server import Response, create_http_server
 
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -3,7 +3,6 @@
 import enum
 import socket as system_socket
 
-import attrs
 import gevent
 from gevent import socket
 
@@ -22,9 +21,10 @@
 from siskindale.proxy.decisions.outcomes import StatementKind
 from siskindale.proxy.decisions.session_state import SessionValues
 from siskindale.proxy.reporting import report_statement
-from siskindale.proxy.single import StatementExecution, StatementRunner
+from siskindale.proxy.runners import AnyTransactionRunner, Runners
+from siskindale.proxy.single import StatementExecution
 from siskindale.proxy.state import ProxyState
-from siskindale.proxy.transactions import Transaction, TransactionRunner
+from siskindale.proxy.transactions import Transaction
 from siskindale.runtime.logs import logger
 from siskindale.transport.sockets import PeekResult, peek_socket
 
@@ -39,14 +39,6 @@
 _LOCAL_RECEIPT = b"-"
 
 
-@attrs.frozen
-class Runners:
-    """Runners of statements outside and inside transactions."""
-
-    statements: StatementRunner
-    transactions: TransactionRunner
-
-
 class Phase(enum.Enum):
     """Activity of a session; only a session that waits for a request can be shut down."""
 
@@ -67,6 +59,7 @@
         self._values = SessionValues()
         self._position: LogPosition | None = None
         self._transaction: Transaction | None = None
+        self._transaction_runner: AnyTransactionRunner
         self._phase = Phase.STARTING
 
     @property
@@ -113,7 +106,7 @@
             return
         logger().info("transaction-aborted", database=self._database, reason=reason)
         transaction.failed = True
-        self._runners.transactions.end(transaction)
+        self._transaction_runner.end(transaction)
 
     def _start(self) -> bool:
         with gevent.Timeout(START_TIMEOUT_S, OSError("no start message")):
@@ -122,6 +115,7 @@
             return False
         self._database = wire.decode_start(line)
         self._state.wait_for_catalog(CATALOG_TIMEOUT_S)
+        self._runners.wait_until_settled(CATALOG_TIMEOUT_S)
         if not self._state.has_catalog:
             self._refuse_start(ErrorCode.OVERLOADED, b"no configuration yet")
             return False
@@ -184,7 +178,7 @@
     def _end_failed_transaction(self) -> None:
         transaction = self._transaction
         if transaction is not None and transaction.failed:
-            self._runners.transactions.end(transaction)
+            self._transaction_runner.end(transaction)
 
     def _handle_statement(self, statement: Statement, arrived_at: float) -> Reply:
         if self._transaction is not None:
@@ -205,7 +199,8 @@
             read_only = verb is Verb.BEGIN_READ_ONLY
             begin_request_id = statement.request_id
             self._transaction = Transaction(read_only, route, group, arrived_at, begin_request_id)
-            self._runners.transactions.begin_in_background(
+            self._transaction_runner = self._runners.transactions(group)
+            self._transaction_runner.begin_in_background(
                 self._transaction, self._values, self._position
             )
             return Reply(receipt=_LOCAL_RECEIPT, state=SessionState.OPEN)
@@ -217,7 +212,7 @@
             return Reply(error=ErrorCode.UNKNOWN_PREPARED, detail=statement.name)
         group = self._state.group(route)
         execution = StatementExecution(statement, route, group, arrived_at, access, self._position)
-        reply = self._runners.statements.run(execution, self._values)
+        reply = self._runners.statements(group).run(execution, self._values)
         if reply.succeeded and access is Access.WRITE:
             self._record_commit(reply)
         return reply
@@ -247,12 +242,9 @@
             return self._mark_failed(
                 transaction, Reply(error=ErrorCode.UNKNOWN_PREPARED, detail=statement.name)
             )
-        work = (
-            StatementKind.TRANSACTION_READ
-            if access is Access.READ
-            else StatementKind.TRANSACTION_WRITE
+        return self._run_in_transaction(
+            transaction, statement, transaction.kind_of(statement, access)
         )
-        return self._run_in_transaction(transaction, statement, work)
 
     def _reject_in_failed_transaction(
         self, transaction: Transaction, statement: Statement
@@ -267,13 +259,9 @@
     def _run_in_transaction(
         self, transaction: Transaction, statement: Statement, work: StatementKind
     ) -> Reply:
-        if transaction.connection is None:
-            begin_error = self._runners.transactions.ensure_begun(
-                transaction, self._values, self._position
-            )
-            if begin_error is not None:
-                return self._mark_failed(transaction, begin_error)
-        reply = self._runners.transactions.run(transaction, self._values, statement, work)
+        reply = self._transaction_runner.run(
+            transaction, self._values, self._position, statement, work
+        )
         if work is StatementKind.TRANSACTION_WRITE:
             transaction.wrote = True
         if reply.error is not None:
@@ -288,25 +276,22 @@
 
     def _rollback(self, transaction: Transaction) -> Reply:
         self._transaction = None
-        self._runners.transactions.end(transaction)
+        self._transaction_runner.end(transaction)
         return Reply(receipt=_LOCAL_RECEIPT)
 
     def _commit(self, transaction: Transaction, statement: Statement) -> Reply:
         self._transaction = None
         if transaction.failed:
-            self._runners.transactions.end(transaction)
+            self._transaction_runner.end(transaction)
             return Reply(error=ErrorCode.ABORTED, detail=b"transaction failed")
-        if transaction.connection is None:
-            begin_error = self._runners.transactions.ensure_begun(
-                transaction, self._values, self._position
-            )
-            if begin_error is not None:
-                return begin_error
-        work = (
-            StatementKind.COMMIT_OF_WRITES if transaction.wrote else StatementKind.COMMIT_OF_READS
+        reply = self._transaction_runner.run(
+            transaction,
+            self._values,
+            self._position,
+            statement,
+            transaction.kind_of(statement, None),
         )
-        reply = self._runners.transactions.run(transaction, self._values, statement, work)
-        self._runners.transactions.end(transaction)
+        self._transaction_runner.end(transaction)
         if reply.succeeded and transaction.wrote:
             self._record_commit(reply)
         reply.state = SessionState.IDLE
@@ -331,7 +316,7 @@
     def _abandon_transaction(self) -> None:
         transaction, self._transaction = self._transaction, None
         if transaction is not None:
-            self._runners.transactions.end(transaction)
+            self._transaction_runner.end(transaction)
 
     def _send(self, data: bytes) -> None:
         with gevent.Timeout(SEND_TIMEOUT_S, OSError("client does not read its replies")):
--- a/siskindale/proxy/settings.py
+++ b/siskindale/proxy/settings.py
@@ -13,7 +13,9 @@
 
 Findings = tuple[Finding, ...]
 
-_OPTIONAL_FIELDS = frozenset({"seeds", "drain_ms", "grace_s", "metrics_port", "log_level"})
+_OPTIONAL_FIELDS = frozenset(
+    {"seeds", "drain_ms", "grace_s", "metrics_port", "log_level", "processor_share", "cores"}
+)
 _KNOWN_FIELDS = _OPTIONAL_FIELDS | {
     "vm",
     "failure_domain",
@@ -22,6 +24,7 @@
     "peers",
     "store",
     "promotions",
+    "forwarding",
 }
 _LOG_LEVELS = ("debug", "info", "warning", "error")
 
@@ -73,11 +76,14 @@
             peers=self._read_address("peers"),
             store=self._read_address("store"),
             promotions=self._read_address("promotions"),
+            forwarding=self._read_address("forwarding"),
             seeds=self._read_seeds(),
             drain_s=self._read_number("drain_ms", 7000) / 1000,
             grace_s=self._read_number("grace_s", 6),
             metrics_port=self._read_port("metrics_port", 9464),
             log_level=self._read_log_level(),
+            processor_share=self._read_number("processor_share", 1.0),
+            cores=int(self._read_number("cores", 1)),
         )
         for name in sorted(self._raw.keys() - _KNOWN_FIELDS):
             self._add_finding(name, "unknown field", f"known: {', '.join(sorted(_KNOWN_FIELDS))}")
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -29,7 +29,8 @@
 class StatementExecution:
     """A statement outside a transaction and the progress of its attempts.
 
-    `excluded` holds the ids of targets that the next attempt avoids. `position_rolled_back` is set
+    `time_limit_s` is the time that is left of the route's timeout if it was forwarded. `excluded`
+    holds the ids of targets that the next attempt avoids. `position_rolled_back` is set
     once the primary itself lacked the position that a read needs: a promotion has rolled that
     position back, and the primary serves the read without it.
     """
@@ -40,6 +41,7 @@
     arrived_at: float
     access: Access
     session_position: LogPosition | None
+    time_limit_s: float | None = None
     excluded: set[str] = attrs.field(factory=set)
     attempts: int = 0
     position_rolled_back: bool = False
@@ -47,7 +49,8 @@
     @property
     def deadline(self) -> float:
         """Time at which the client stops waiting for the reply."""
-        return self.arrived_at + self.route.timeout_s
+        limit_s = self.route.timeout_s if self.time_limit_s is None else self.time_limit_s
+        return self.arrived_at + limit_s
 
     @property
     def work(self) -> StatementKind:
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -1,6 +1,6 @@
 """State of the session proxy: the catalog, its groups and their targets."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from gevent.event import Event
@@ -37,6 +37,7 @@
         self._targets_confirmed_at: float | None = None
         self._changes_for_peers: dict[str, Mapping[str, Any] | None] = {}
         self._catalog_loaded = Event()
+        self._needs_targets: Callable[[], bool] = lambda: True
 
     @property
     def has_catalog(self) -> bool:
@@ -70,14 +71,18 @@
 
     @property
     def ready(self) -> bool:
-        """Whether clients can be served: the catalog and the registrations are known."""
-        return self._catalog is not None and self._targets_known
+        """Whether the catalog and, if this VM uses targets, their registrations are known."""
+        return self._catalog is not None and (self._targets_known or not self._needs_targets())
 
     @property
     def groups(self) -> Mapping[str, Group]:
         """Groups by name."""
         return self._groups
 
+    def needs_targets_if(self, condition: Callable[[], bool]) -> None:
+        """Sets what tells whether this VM uses targets itself."""
+        self._needs_targets = condition
+
     def now(self) -> float:
         """Seconds of the suspend-aware clock."""
         return self._clock.monotonic()
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -5,7 +5,14 @@
 
 from siskindale.models.catalog import Route
 from siskindale.models.group import LogPosition
-from siskindale.models.statements import Access, ErrorCode, Reply, SessionState, Statement
+from siskindale.models.statements import (
+    Access,
+    ErrorCode,
+    Reply,
+    SessionState,
+    Statement,
+    Verb,
+)
 from siskindale.platform import wire
 from siskindale.proxy import metrics
 from siskindale.proxy.connection import TargetConnection
@@ -13,6 +20,7 @@
 from siskindale.proxy.decisions.freshness import required_position
 from siskindale.proxy.decisions.outcomes import Progress, StatementKind
 from siskindale.proxy.decisions.session_state import SessionValues
+from siskindale.proxy.links import Link
 from siskindale.proxy.pool import ConnectionPool
 from siskindale.proxy.routing import (
     EXCHANGE_ERRORS,
@@ -35,7 +43,10 @@
 
     `begin_request_id` is the id of the request that began it. `begin_greenlet` starts it on a
     target while the client prepares its first statement. `failure_reported` is set once the client
-    has been told that the transaction failed.
+    has been told that the transaction failed. `used_at` is when its last statement began or ended.
+
+    At the owner of the group's connections it has a `connection`. At a VM that forwards it, it has
+    the `link` to the owner and a `handle` for it; `started` once a statement was forwarded.
     """
 
     read_only: bool
@@ -48,6 +59,19 @@
     wrote: bool = False
     failed: bool = False
     failure_reported: bool = False
+    used_at: float = 0.0
+    running: bool = False
+    link: Link | None = None
+    handle: int = 0
+    started: bool = False
+
+    def kind_of(self, statement: Statement, access: Access | None) -> StatementKind:
+        """Returns the kind of a statement of this transaction."""
+        if statement.verb is Verb.COMMIT:
+            return StatementKind.COMMIT_OF_WRITES if self.wrote else StatementKind.COMMIT_OF_READS
+        if access is Access.READ:
+            return StatementKind.TRANSACTION_READ
+        return StatementKind.TRANSACTION_WRITE
 
 
 class TransactionRunner:
@@ -69,7 +93,28 @@
             self._begin, transaction, values, session_position, deadline
         )
 
-    def ensure_begun(
+    def run(
+        self,
+        transaction: Transaction,
+        values: SessionValues,
+        session_position: LogPosition | None,
+        statement: Statement,
+        work: StatementKind,
+    ) -> Reply:
+        """Runs one statement of a transaction, or its commit, and starts it before if needed."""
+        transaction.running, transaction.used_at = True, self._pool.now()
+        try:
+            if transaction.connection is None:
+                begin_error = self._ensure_begun(transaction, values, session_position)
+                if begin_error is not None:
+                    return begin_error
+            if work is StatementKind.TRANSACTION_WRITE:
+                transaction.wrote = True
+            return self._run_begun(transaction, values, statement, work)
+        finally:
+            transaction.running, transaction.used_at = False, self._pool.now()
+
+    def _ensure_begun(
         self,
         transaction: Transaction,
         values: SessionValues,
@@ -196,7 +241,7 @@
         else:
             self._pool.close_in_use(group, connection)
 
-    def run(
+    def _run_begun(
         self,
         transaction: Transaction,
         values: SessionValues,
--- a/siskindale/transport/codec.py
+++ b/siskindale/transport/codec.py
@@ -37,3 +37,26 @@
         return Success((envelope, decoder.decode(envelope.body)))
     except msgspec.DecodeError as error:
         return Failure(str(error))
+
+
+@functools.cache
+def _frame_decoder() -> msgspec.msgpack.Decoder[tuple[str, int, msgspec.Raw]]:
+    return msgspec.msgpack.Decoder(tuple[str, int, msgspec.Raw])
+
+
+def encode_frame(body: Body, number: int) -> bytes:
+    """Encodes a message for a stream: its length in four bytes, then kind, number and body."""
+    data = _ENCODER.encode((body.kind, number, msgspec.Raw(_ENCODER.encode(body))))
+    return len(data).to_bytes(4, "big") + data
+
+
+def decode_frame(data: bytes) -> Result[tuple[int, Body], str]:
+    """Decodes a message of a stream without its length; returns its number and body."""
+    try:
+        kind, number, raw = _frame_decoder().decode(data)
+        decoder = _body_decoder(kind)
+        if decoder is None:
+            return Failure(f"unknown message kind {kind!r}")
+        return Success((number, decoder.decode(raw)))
+    except msgspec.DecodeError as error:
+        return Failure(str(error))
--- a/tests/proxy/deployment.py
+++ b/tests/proxy/deployment.py
@@ -154,7 +154,7 @@
 
     def write_settings(self, name: str) -> tuple[Path, Address, Address]:
         """Writes a proxy's settings; returns their path and its client and readiness addresses."""
-        clients, readiness, peers = free_addresses(3, next(self._hosts))
+        clients, readiness, peers, forwarding = free_addresses(4, next(self._hosts))
         path = self.path(name)
         platform = "{}:{}".format(*self.platform.server.address)
         settings = {
@@ -163,6 +163,7 @@
             "clients": str(clients),
             "readiness": str(readiness),
             "peers": str(peers),
+            "forwarding": str(forwarding),
             "store": platform,
             "promotions": platform,
             "seeds": [str(peers)],
--- a/tests/proxy/settings.py
+++ b/tests/proxy/settings.py
@@ -5,7 +5,7 @@
 from siskindale.models.address import Address
 from siskindale.models.vm import ProxySettings
 
-ADDRESS_FIELDS = ("clients", "readiness", "peers", "store", "promotions")
+ADDRESS_FIELDS = ("clients", "readiness", "peers", "store", "promotions", "forwarding")
 
 
 def build_settings(vm: str = "vm1", failure_domain: str = "east", **fields: Any) -> ProxySettings:
--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -14,6 +14,7 @@
 TEMPLATE = Path(__file__).parent.parent.parent / "deploy" / "settings.json"
 SECTION = re.compile(r"\{\{#([a-z_.]+)\}\}(.*?)\{\{/\1\}\}", re.S)
 VALUE = re.compile(r"\{\{([a-z_.]+)\|json\}\}")
+PLAIN = re.compile(r"\{\{([a-z_.0-9]+)\}\}")
 
 Fields = dict[str, Any]
 
@@ -29,6 +30,10 @@
         "listen.control": "10.1.0.8:8782",
         "platform.address": "10.200.1.7:8783",
         "cloud.address": "10.200.0.160:8783",
+        "ip": "10.1.0.8",
+        "port_range.0": 7440,
+        "limits.cpu_share": 0.717,
+        "limits.cores": 3,
         "bounds.drain_ms": 9000,
         "bounds.grace_s": 5,
         "seeds": ["10.2.0.6:8782", "10.3.0.7:8782"],
@@ -47,7 +52,8 @@
         return "".join(t.replace("{{,}}", "," if i < last else "") for i, t in enumerate(items))
 
     sections = SECTION.sub(section, TEMPLATE.read_text())
-    return VALUE.sub(lambda match: json.dumps(fields[match[1]]), sections)
+    values = VALUE.sub(lambda match: json.dumps(fields[match[1]]), sections)
+    return PLAIN.sub(lambda match: str(fields[match[1]]), values)
 
 
 def test_template_of_the_deployment_gives_valid_settings(tmp_path: Path, fields: Fields) -> None:
@@ -59,6 +65,8 @@
     assert settings.store == Address("10.200.1.7", 8783)
     assert settings.seeds == (Address("10.2.0.6", 8782), Address("10.3.0.7", 8782))
     assert (settings.drain_s, settings.grace_s) == (9.0, 5.0)
+    assert settings.forwarding == Address("10.1.0.8", 7440)
+    assert settings.capacity == pytest.approx(2.151)
 
 
 def test_template_leaves_out_bounds_that_a_deployment_lacks(tmp_path: Path, fields: Fields) -> None:
--- a/tests/proxy/test_statements.py
+++ b/tests/proxy/test_statements.py
@@ -55,7 +55,9 @@
     target.open_count = 1
     for other in (group.targets["b"], group.targets["c"]):
         other.closed = True
-    return ConnectionPool(settings, SystemClock(), {"g": group}, lambda *_: 1, lambda: None)
+    return ConnectionPool(
+        settings, SystemClock(), {"g": group}, lambda _: 1, lambda _: True, lambda: None
+    )
 
 
 @pytest.fixture
@@ -84,6 +86,6 @@
     transaction = Transaction(False, route(), group, pool.now(), b"1", pool.take_idle(target))
     runner = TransactionRunner(pool, router)
     with pytest.raises(RuntimeError):
-        runner.run(transaction, SessionValues(), READ, StatementKind.TRANSACTION_READ)
+        runner.run(transaction, SessionValues(), None, READ, StatementKind.TRANSACTION_READ)
     runner.end(transaction)
     assert (target.in_flight, target.open_count, target.idle_connections) == (0, 0, [])
