Order waiting statements by what can still be on time, and bound what a target queues

Change: a VM has at most three statements a slot at a target, shared by its owners; the rest waits at the owner, first those that can still meet their objective. A statement that cannot be reached before its deadline is refused when it arrives. The time limit of opening a link no longer applies to the open link.

--- a/siskindale/models/forwarding.py
+++ b/siskindale/models/forwarding.py
@@ -7,6 +7,9 @@
 from siskindale.models.messages import message
 from siskindale.models.statements import PreparedStatement, Reply, Statement
 
+# An owner ends a statement this long before its deadline, so that its refusal arrives in time.
+REPLY_RESERVE_S = 0.02
+
 
 @attrs.frozen
 class SessionSnapshot:
@@ -23,12 +26,12 @@
 @message("forward-statement")
 @attrs.frozen
 class ForwardedStatement:
-    """A statement outside a transaction; `remaining_s` is the time left until its deadline."""
+    """A statement outside a transaction, which arrived at the sender `elapsed_s` ago."""
 
     statement: Statement
     route: Route
     session: SessionSnapshot
-    remaining_s: float
+    elapsed_s: float
 
 
 @message("forward-begin")
--- a/siskindale/proxy/decisions/placement.py
+++ b/siskindale/proxy/decisions/placement.py
@@ -27,7 +27,12 @@
 
 
 def candidates(
-    group: Group, need: Need, excluded: Iterable[str], own_domain: str, now: float, drain_s: float
+    group: Group,
+    need: Need,
+    excluded: Iterable[str],
+    own_domain: str,
+    now: float,
+    drain_s: float,
 ) -> list[Target]:
     """Returns the targets that may run a statement, best first.
 
--- a/siskindale/proxy/decisions/waiting.py
+++ b/siskindale/proxy/decisions/waiting.py
@@ -1,15 +1,26 @@
-"""Order in which waiting statements get connections.
+"""Order in which waiting statements get connections, and which of them are refused at once.
 
-Under overload, statements of a higher priority go first, and within a priority those with an
-earlier deadline. A statement whose deadline has passed is refused, because its client no longer
-waits.
+Load pattern: more statements arrive than a target can run, such as when all replicas lag and the
+primary has to serve all reads. Statements of a higher priority go first. Within a priority those
+go first that can still meet their objective; with the earliest deadline first, all of them would
+wait until they are late. A statement that cannot be reached before its deadline is refused when it
+arrives, so that its client can try again in time.
 """
 
+import math
 from collections.abc import Sequence
 
 import attrs
 
-from siskindale.proxy.tables import Need, Waiter
+from siskindale.proxy.tables import Group, Need, Target, Waiter
+
+# Statements that a target runs and queues at any time, for each of its slots; with less it would be
+# idle while replies travel. All others wait here, where their order is known.
+STATEMENTS_PER_SLOT = 3
+# A statement that gets its connection later than this before its objective is late all the same.
+RUN_TIME_S = 0.03
+# A VM whose only statement at a target is a long one must not block its other statements.
+MIN_RUNNING = 2
 
 
 @attrs.frozen
@@ -37,6 +48,38 @@
     return QueueBypass(allowed=True, except_primary=True)
 
 
-def service_order(waiters: Sequence[Waiter]) -> list[Waiter]:
+def service_order(waiters: Sequence[Waiter], now: float) -> list[Waiter]:
     """Returns waiters in the order in which they get connections."""
-    return sorted(waiters, key=lambda waiter: (waiter.need.priority, waiter.need.deadline))
+    return sorted(waiters, key=lambda waiter: _rank(waiter.need, now))
+
+
+def _rank(need: Need, now: float) -> tuple[int, bool, float]:
+    return (need.priority, need.objective_at < now + RUN_TIME_S, need.deadline)
+
+
+def running_limit(slots: int, vm_count: int) -> int:
+    """Returns how many statements a VM may have at a target that `vm_count` VMs use."""
+    return max(MIN_RUNNING, math.ceil(STATEMENTS_PER_SLOT * slots / max(1, vm_count)))
+
+
+def expected_wait(
+    group: Group, candidates: Sequence[Target], need: Need, vm_count: int, now: float
+) -> float:
+    """Returns the seconds after which a new statement would have its reply.
+
+    `candidates` are the targets that could run it, also those that are busy. While there is none,
+    the wait depends on a promotion and is taken for 0.
+    """
+    if not candidates:
+        return 0.0
+    rank = _rank(need, now)
+    ahead = sum(
+        1
+        for waiter in group.waiters
+        if _rank(waiter.need, now) <= rank and (need.primary_only or not waiter.need.primary_only)
+    )
+    replies_per_s = sum(
+        running_limit(target.entry.slots, vm_count) / max(target.latency_s, 0.001)
+        for target in candidates
+    )
+    return (ahead + 1) / replies_per_s
--- a/siskindale/proxy/forwarding.py
+++ b/siskindale/proxy/forwarding.py
@@ -5,6 +5,7 @@
 import gevent
 
 from siskindale.models.forwarding import (
+    REPLY_RESERVE_S,
     ForwardedBegin,
     ForwardedEnd,
     ForwardedReply,
@@ -28,8 +29,6 @@
 from siskindale.proxy.transactions import Transaction
 from siskindale.runtime.logs import logger
 
-# Time kept back from the owner, so that its refusal reaches the client before the deadline.
-REPLY_RESERVE_S = 0.02
 # Pause before owners are tried again when none can be reached.
 NO_OWNER_RETRY_S = 0.05
 
@@ -100,7 +99,7 @@
             execution.statement,
             execution.route,
             snapshot(values, execution.session_position),
-            remaining_s - REPLY_RESERVE_S,
+            self._state.now() - execution.arrived_at,
         )
         metrics.FORWARDED.labels("statement").inc()
         try:
--- a/siskindale/proxy/links.py
+++ b/siskindale/proxy/links.py
@@ -83,11 +83,14 @@
 
     def _connect(self) -> FrameStream:
         try:
-            return FrameStream(
-                socket.create_connection((self.address.host, self.address.port), CONNECT_TIMEOUT_S)
+            sock = socket.create_connection(
+                (self.address.host, self.address.port), CONNECT_TIMEOUT_S
             )
         except OSError as error:
             raise LinkUnavailableError(f"{self.address}: {error}") from error
+        # The limit is for the connection alone: a quiet link is not a broken one.
+        sock.settimeout(None)
+        return FrameStream(sock)
 
     def _send(self, body: Body, number: int) -> None:
         self.used_at = self._clock.monotonic()
--- a/siskindale/proxy/owner.py
+++ b/siskindale/proxy/owner.py
@@ -8,6 +8,7 @@
 
 from siskindale.models.catalog import Route
 from siskindale.models.forwarding import (
+    REPLY_RESERVE_S,
     ForwardedBegin,
     ForwardedEnd,
     ForwardedReply,
@@ -104,8 +105,10 @@
                     self._fail(transaction)
 
     def _fail(self, transaction: Transaction) -> None:
+        """Ends a transaction; while one of its statements runs, that one ends it afterwards."""
         transaction.failed = True
-        self._transactions.end(transaction)
+        if not transaction.running:
+            self._transactions.end(transaction)
 
     def _handle(self, number: int, body: Body) -> None:
         if isinstance(body, ForwardedStatement):
@@ -132,10 +135,10 @@
             body.statement,
             body.route,
             group,
-            self._state.now(),
+            self._state.now() - body.elapsed_s,
             access,
             body.session.position,
-            time_limit_s=body.remaining_s,
+            REPLY_RESERVE_S,
         )
         self._reply(number, self._statements.run(execution, values))
 
@@ -170,7 +173,7 @@
         reply = self._transactions.run(
             transaction, values, body.session.position, body.statement, work
         )
-        if reply.error is not None:
+        if reply.error is not None or transaction.failed:
             self._fail(transaction)
         self._reply(number, reply)
 
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -63,7 +63,7 @@
         self, group: Group, need: Need, excluded: Iterable[str] = ()
     ) -> TargetConnection | None:
         """Returns an idle connection that meets `need`, or None at the deadline."""
-        waiter = Waiter(need, set(excluded), self.now(), AsyncResult())
+        waiter = Waiter(need, set(excluded), AsyncResult())
         connection = self._acquire_without_waiting(group, waiter)
         if connection is not None:
             return connection
@@ -123,7 +123,7 @@
 
     def dispatch(self, group: Group) -> None:
         """Assigns idle connections to waiting statements, and opens more where needed."""
-        for waiter in waiting.service_order(group.waiters):
+        for waiter in waiting.service_order(group.waiters, self.now()):
             connection = self._take_idle_for(group, waiter)
             if connection is None:
                 self._open_for(group, waiter)
@@ -192,16 +192,30 @@
         return next(filter(None, map(self.take_idle, candidates)), None)
 
     def _candidates(self, group: Group, waiter: Waiter) -> list[Target]:
+        """Returns the targets that a statement may go to now, best first."""
+        vm_count = self._vm_count(group)
+        return [
+            target
+            for target in self._possible_targets(group, waiter.need, waiter.excluded)
+            if target.running_count < waiting.running_limit(target.entry.slots, vm_count)
+        ]
+
+    def _possible_targets(self, group: Group, need: Need, excluded: Iterable[str]) -> list[Target]:
+        """Returns the targets that may run a statement, also busy ones, best first."""
         settings = self._settings
         return placement.candidates(
-            group,
-            waiter.need,
-            waiter.excluded,
-            settings.failure_domain,
-            self.now(),
-            settings.drain_s,
+            group, need, excluded, settings.failure_domain, self.now(), settings.drain_s
         )
 
+    def cannot_be_served(self, group: Group, need: Need) -> bool:
+        """Returns whether a new statement would not get its reply before its deadline."""
+        if not group.waiters:
+            return False
+        now = self.now()
+        targets = self._possible_targets(group, need, ())
+        wait_s = waiting.expected_wait(group, targets, need, self._vm_count(group), now)
+        return now + wait_s > need.deadline
+
     def _open_for(self, group: Group, waiter: Waiter) -> None:
         now = self.now()
         candidates = self._candidates(group, waiter)
--- a/siskindale/proxy/routing.py
+++ b/siskindale/proxy/routing.py
@@ -54,6 +54,7 @@
         route: Route,
         minimum: LogPosition | None,
         access: Access,
+        arrived_at: float,
         deadline: float,
         excluded: set[str],
     ) -> Need:
@@ -72,7 +73,8 @@
             self._request_sample(group.name)
         if lacks_sample or excluded:
             deadline = min(deadline, self._pool.now() + RECONSIDER_INTERVAL_S)
-        return Need(minimum, route.priority, deadline, minimum is None)
+        objective_at = arrived_at + route.objective_s
+        return Need(minimum, route.priority, deadline, minimum is None, objective_at)
 
     def note_demoted(self, group: Group, connection: TargetConnection) -> None:
         """Records that a target is a replica, as it refused what only the primary may do."""
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -29,8 +29,8 @@
 class StatementExecution:
     """A statement outside a transaction and the progress of its attempts.
 
-    `time_limit_s` is the time that is left of the route's timeout if it was forwarded. `excluded`
-    holds the ids of targets that the next attempt avoids. `position_rolled_back` is set
+    `reply_reserve_s` is the time that its reply needs to the VM that forwarded it. `excluded` holds
+    the ids of targets that the next attempt avoids. `position_rolled_back` is set
     once the primary itself lacked the position that a read needs: a promotion has rolled that
     position back, and the primary serves the read without it.
     """
@@ -41,7 +41,7 @@
     arrived_at: float
     access: Access
     session_position: LogPosition | None
-    time_limit_s: float | None = None
+    reply_reserve_s: float = 0.0
     excluded: set[str] = attrs.field(factory=set)
     attempts: int = 0
     position_rolled_back: bool = False
@@ -49,8 +49,7 @@
     @property
     def deadline(self) -> float:
         """Time at which the client stops waiting for the reply."""
-        limit_s = self.route.timeout_s if self.time_limit_s is None else self.time_limit_s
-        return self.arrived_at + limit_s
+        return self.arrived_at + self.route.timeout_s - self.reply_reserve_s
 
     @property
     def work(self) -> StatementKind:
@@ -70,6 +69,9 @@
         last_error = ErrorCode.OVERLOADED
         while True:
             need = self._build_need(execution)
+            full_need = attrs.evolve(need, deadline=execution.deadline)
+            if self._pool.cannot_be_served(execution.group, full_need):
+                return self._refuse_overloaded(execution, last_error)
             connection = self._pool.acquire(execution.group, need, execution.excluded)
             if connection is None:
                 if self._pool.now() < execution.deadline:
@@ -103,6 +105,7 @@
             execution.route,
             minimum,
             execution.access,
+            execution.arrived_at,
             execution.deadline,
             execution.excluded,
         )
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -27,6 +27,7 @@
     `full_at`: when the target last refused a connection because it had none free.
     `silent_since`: since when statements have been waiting without any reply.
     `yield_until`: until when this VM leaves connections to a VM that has none.
+    `resting_count`: how many connections in flight belong to transactions whose clients rest.
     `lacking_position`: log position for which the target refused a read; its log is assumed to lack
     it until `lacking_until`.
     """
@@ -36,6 +37,7 @@
     open_count: int = 0
     opening_count: int = 0
     in_flight: int = 0
+    resting_count: int = 0
     latency_s: float = INITIAL_LATENCY_S
     latency_measured_at: float = 0.0
     silent_since: float | None = None
@@ -55,6 +57,11 @@
         """Id under which the target registers itself."""
         return self.entry.id
 
+    @property
+    def running_count(self) -> int:
+        """Number of statements of this VM that the target is running or has queued."""
+        return self.in_flight - self.resting_count
+
     @property
     def leaving(self) -> bool:
         """Whether the target is draining or closed, so that it takes no new work."""
@@ -84,13 +91,14 @@
     """What a statement requires of the target that runs it.
 
     With `min_position`, any target whose log has that position may run it, otherwise only the
-    primary.
+    primary. After `objective_at` its reply is late, after `deadline` useless.
     """
 
     min_position: LogPosition | None
     priority: int
     deadline: float
     primary_only: bool
+    objective_at: float
 
 
 @attrs.define(eq=False)
@@ -99,7 +107,6 @@
 
     need: Need
     excluded: set[str]
-    arrived: float
     result: AsyncResult
 
 
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -157,7 +157,13 @@
                 excluded.clear()
             access = Access.READ if transaction.read_only else Access.WRITE
             need = self._router.need_of(
-                transaction.group, route, minimum, access, deadline, excluded
+                transaction.group,
+                route,
+                minimum,
+                access,
+                transaction.arrived_at,
+                deadline,
+                excluded,
             )
             connection = self._pool.acquire(transaction.group, need, excluded)
             if connection is None:
@@ -175,6 +181,7 @@
             error = self._begin_on_connection(transaction, values, connection, need)
             if error is None:
                 transaction.connection = connection
+                connection.target.resting_count += 1
                 return None
             metrics.RETRIES.labels(error.value).inc()
             if error is ErrorCode.READ_ONLY:
@@ -251,6 +258,22 @@
         """Runs one statement of a transaction that has a connection."""
         connection = transaction.connection
         assert connection is not None
+        connection.target.resting_count -= 1
+        try:
+            return self._exchange(transaction, connection, values, statement, work)
+        finally:
+            if transaction.connection is not None:
+                connection.target.resting_count += 1
+
+    def _exchange(
+        self,
+        transaction: Transaction,
+        connection: TargetConnection,
+        values: SessionValues,
+        statement: Statement,
+        work: StatementKind,
+    ) -> Reply:
+        """Sends a statement with the messages that must precede it, and returns its reply."""
         started_at = self._pool.now()
         messages = preparation_messages(connection, values, statement)
         messages.append(wire.encode_statement(statement, prepared_name(values, statement)))
@@ -318,6 +341,8 @@
         connection, transaction.connection = transaction.connection, None
         if connection is None:
             return
+        if not transaction.running:
+            connection.target.resting_count -= 1
         if connection.state is SessionState.IDLE:
             self._pool.release(transaction.group, connection)
         else:
--- a/tests/proxy/test_lag.py
+++ b/tests/proxy/test_lag.py
@@ -28,7 +28,7 @@
 
     def _read(self, minimum: LogPosition, now: float) -> None:
         excluded: set[str] = set()
-        need = Need(minimum, 1, now + 1.0, primary_only=False)
+        need = Need(minimum, 1, now + 1.0, primary_only=False, objective_at=now + 0.2)
         while True:
             candidates = placement.candidates(self.group, need, excluded, "west", now, DRAIN_S)
             if self._try(candidates[0], minimum, now):
@@ -92,7 +92,7 @@
 def test_lagging_replicas_are_tried_while_the_primary_is_lost(group: Group) -> None:
     """Guards against reads that wait half a second although a replica has caught up meanwhile."""
     minimum = LogPosition(1, 9)
-    need = Need(minimum, 1, 9.0, primary_only=False)
+    need = Need(minimum, 1, 9.0, primary_only=False, objective_at=8.0)
     for name in ("b", "c"):
         lag.note_lagging(group.targets[name], group.freshness, minimum, None, now=1.0)
     group.targets["a"].avoid_until = 2.0
--- a/tests/proxy/test_placement.py
+++ b/tests/proxy/test_placement.py
@@ -7,8 +7,8 @@
 from siskindale.proxy.decisions import placement
 from siskindale.proxy.tables import Group, Need
 
-READ = Need(LogPosition(1, 1), 1, 9.0, primary_only=False)
-WRITE = Need(None, 1, 9.0, primary_only=True)
+READ = Need(LogPosition(1, 1), 1, 9.0, primary_only=False, objective_at=8.0)
+WRITE = Need(None, 1, 9.0, primary_only=True, objective_at=8.0)
 DRAIN_S = 7.0
 
 
