--- a/siskindale/proxy/forwarding.py
+++ b/siskindale/proxy/forwarding.py
@@ -1,9 +1,13 @@
 """Forwards statements to the owners of a group's connections."""
 
+from __future__ import annotations
+
 import itertools
 
+import attrs
 import gevent
 
+from siskindale.context import Clock
 from siskindale.models.forwarding import (
     REPLY_RESERVE_S,
     ForwardedBegin,
@@ -38,6 +42,23 @@
     return SessionSnapshot(values.values, values.prepared, position)
 
 
+@attrs.frozen
+class Forwarding:
+    """Runners that forward statements outside and inside transactions."""
+
+    statements: ForwardingStatementRunner
+    transactions: ForwardingTransactionRunner
+
+
+def create_forwarding(ownership: Ownership, state: ProxyState, clock: Clock) -> Forwarding:
+    """Returns the runners, which share their links to owners."""
+    links = Links(clock)
+    selector = OwnerSelector(ownership, links)
+    return Forwarding(
+        ForwardingStatementRunner(selector, state), ForwardingTransactionRunner(selector, state)
+    )
+
+
 class OwnerSelector:
     """Finds a link to an owner of a group."""
 
--- a/siskindale/proxy/links.py
+++ b/siskindale/proxy/links.py
@@ -154,6 +154,7 @@
         link = self._links.get(address)
         if link is not None and not link.broken:
             return link
+        self._close_idle()
         try:
             link = Link(address, self._clock)
         except LinkUnavailableError:
@@ -177,8 +178,7 @@
         """Returns whether a VM is passed over at present."""
         return self._clock.monotonic() < self._avoid_until.get(address, 0.0)
 
-    def close_idle(self) -> None:
-        """Closes links that have not been used for a while."""
+    def _close_idle(self) -> None:
         oldest = self._clock.monotonic() - IDLE_TIMEOUT_S
         for address, link in list(self._links.items()):
             if link.broken or link.used_at < oldest:
--- a/siskindale/proxy/owner.py
+++ b/siskindale/proxy/owner.py
@@ -75,8 +75,8 @@
         self._vm = vm
         self._state = state
         self._ownership = ownership
-        self._statements = runners.local_statements
-        self._transactions = runners.local_transactions
+        self._statements = runners.statements
+        self._transactions = runners.transactions
         self._open: dict[int, Transaction] = {}
 
     def run(self) -> None:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -1,5 +1,7 @@
 """The session proxy as a running program: its components, start and stop."""
 
+from __future__ import annotations
+
 import atexit
 import gc
 import os
@@ -7,14 +9,14 @@
 import socket
 from collections.abc import Callable
 from random import Random
-from typing import TextIO, cast
+from typing import TYPE_CHECKING, TextIO, cast
 
 import gevent
 from gevent.event import Event
 from returns.result import Failure, Result
 
 from siskindale.config.findings import Finding
-from siskindale.context import Clock, Environment, SuspendAwareClock
+from siskindale.context import Environment, SuspendAwareClock
 from siskindale.exits import ExitStatus
 from siskindale.models.address import Address
 from siskindale.models.vm import RELOADABLE, ProxySettings, changed_fields
@@ -23,14 +25,7 @@
 from siskindale.proxy.duty import Duties, DutyKeeper
 from siskindale.proxy.failover import Failover
 from siskindale.proxy.followers import CatalogFollower, TargetsFollower
-from siskindale.proxy.forwarding import (
-    ForwardingStatementRunner,
-    ForwardingTransactionRunner,
-    OwnerSelector,
-)
-from siskindale.proxy.links import Links
 from siskindale.proxy.members import Membership
-from siskindale.proxy.owner import ForwardingServer
 from siskindale.proxy.ownership import Ownership
 from siskindale.proxy.peers import Peers
 from siskindale.proxy.pool import ConnectionPool
@@ -46,6 +41,9 @@
 from siskindale.runtime.log_stream import BoundedStream
 from siskindale.runtime.logs import logger
 
+if TYPE_CHECKING:
+    from siskindale.proxy.forwarding import Forwarding
+
 # By then, sessions that were waiting at the start have their first connections to targets.
 LOG_SETUP_DELAY_S = 0.3
 PEER_EXCHANGE_DELAY_S = 0.1
@@ -99,23 +97,36 @@
             self._peers.notify_targets,
             lambda: self._directory.settled and self._owns_any(),
         )
-        self._runners = self._build_runners(settings, clock)
+        self._forwarding_runners: Forwarding | None = None
+        self._runners = self._build_runners()
         self._server = SessionServer(settings.clients, self._state, self._runners, listener)
-        self._forwarding = ForwardingServer(settings, self._state, ownership, self._runners)
 
-    def _build_runners(self, settings: ProxySettings, clock: Clock) -> Runners:
+    def _build_runners(self) -> Runners:
         router = Router(self._pool, self._peers.request_sample)
-        self._links = Links(clock)
-        selector = OwnerSelector(self._ownership, self._links)
         return Runners(
             StatementRunner(self._pool, router),
             TransactionRunner(self._pool, router),
-            ForwardingStatementRunner(selector, self._state),
-            ForwardingTransactionRunner(selector, self._state),
+            self._forwarding,
             self._ownership.owns,
             self._directory.wait_until_settled,
         )
 
+    def _forwarding(self) -> Forwarding:
+        """Returns the runners that forward, imported only in a fleet that needs them."""
+        if self._forwarding_runners is None:
+            from siskindale.proxy.forwarding import create_forwarding
+
+            self._forwarding_runners = create_forwarding(self._ownership, self._state, self._clock)
+        return self._forwarding_runners
+
+    def _serve_forwarded(self) -> None:
+        """Serves other VMs, delayed because its import would hold up first clients."""
+        gevent.sleep(PEER_EXCHANGE_DELAY_S)
+        from siskindale.proxy.owner import ForwardingServer
+
+        server = ForwardingServer(self._settings, self._state, self._ownership, self._runners)
+        server.start()
+
     def _owns_any(self) -> bool:
         return any(self._ownership.owns(group) for group in self._state.groups.values())
 
@@ -129,9 +140,9 @@
         readiness_server(address, self._is_ready).start()
         self._serve_metrics(Address(address.host, self._settings.metrics_port))
         self._membership.start()
-        self._forwarding.start()
         for background_task in (
             self._directory.run,
+            self._serve_forwarded,
             self._catalog.run,
             self._targets.run,
             self._exchange_state,
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -1,7 +1,10 @@
 """Sessions of clients, each of which runs one statement at a time."""
 
+from __future__ import annotations
+
 import enum
 import socket as system_socket
+from typing import TYPE_CHECKING
 
 import gevent
 from gevent import socket
@@ -21,13 +24,16 @@
 from siskindale.proxy.decisions.outcomes import StatementKind
 from siskindale.proxy.decisions.session_state import SessionValues
 from siskindale.proxy.reporting import report_statement
-from siskindale.proxy.runners import AnyTransactionRunner, Runners
+from siskindale.proxy.runners import Runners
 from siskindale.proxy.single import StatementExecution
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.transactions import Transaction
 from siskindale.runtime.logs import logger
 from siskindale.transport.sockets import PeekResult, peek_socket
 
+if TYPE_CHECKING:
+    from siskindale.proxy.runners import AnyTransactionRunner
+
 START_TIMEOUT_S = 5.0
 # A client gives up if the reply to its start takes 2 s.
 CATALOG_TIMEOUT_S = 1.5
@@ -199,7 +205,7 @@
             read_only = verb is Verb.BEGIN_READ_ONLY
             begin_request_id = statement.request_id
             self._transaction = Transaction(read_only, route, group, arrived_at, begin_request_id)
-            self._transaction_runner = self._runners.transactions(group)
+            self._transaction_runner = self._runners.transactions_for(group)
             self._transaction_runner.begin_in_background(
                 self._transaction, self._values, self._position
             )
@@ -212,7 +218,7 @@
             return Reply(error=ErrorCode.UNKNOWN_PREPARED, detail=statement.name)
         group = self._state.group(route)
         execution = StatementExecution(statement, route, group, arrived_at, access, self._position)
-        reply = self._runners.statements(group).run(execution, self._values)
+        reply = self._runners.statements_for(group).run(execution, self._values)
         if reply.succeeded and access is Access.WRITE:
             self._record_commit(reply)
         return reply
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -1,5 +1,9 @@
 """Transactions, each of which holds one connection to a target until it ends."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 import attrs
 import gevent
 
@@ -20,7 +24,6 @@
 from siskindale.proxy.decisions.freshness import required_position
 from siskindale.proxy.decisions.outcomes import Progress, StatementKind
 from siskindale.proxy.decisions.session_state import SessionValues
-from siskindale.proxy.links import Link
 from siskindale.proxy.pool import ConnectionPool
 from siskindale.proxy.routing import (
     EXCHANGE_ERRORS,
@@ -32,6 +35,9 @@
 from siskindale.proxy.tables import Group, Need
 from siskindale.runtime.logs import logger
 
+if TYPE_CHECKING:
+    from siskindale.proxy.links import Link
+
 # A statement of a transaction is given up after this time without a reply, so that the client has
 # time left to repeat the transaction.
 TRANSACTION_REPLY_TIMEOUT_S = 0.5
--- a/tests/proxy/deployment.py
+++ b/tests/proxy/deployment.py
@@ -91,6 +91,7 @@
         self._hosts = (f"127.{n}.{host_suffix}" for n in itertools.count(100))
         self.group = TargetGroup(GROUP)
         self.transaction_idle_ms = 3000
+        self.max_connections = 16
         self.platform = PlatformStandin(free_addresses(1)[0], lambda _, t: self.group.promote(t))
         self.platform.server.start()
         self._sequence = itertools.count(1)
@@ -143,7 +144,7 @@
                 for host, fields in routes_by_database.items()
                 if fields is not None
             ],
-            "services": [{"name": GROUP, "max_conns": 16, "sync_replicas": 0}],
+            "services": [{"name": GROUP, "max_conns": self.max_connections, "sync_replicas": 0}],
             "limits": {"tx_idle_ms": self.transaction_idle_ms},
         }
         self.platform.put("op", "config", value)
