Roll back transactions that rest on connections which others wait for

Cause: clients that begin, write and then do nothing hold all connections of a primary for the idle limit of 3 s while its slots are idle. Change: while statements wait for connections and not for slots, the limit falls with their number to 0.5 s; the client is told that its transaction was aborted.

The end of a forwarded transaction no longer interferes with a statement of it that still runs.

--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -13,6 +13,7 @@
 from siskindale.proxy.promoter import PROMOTION_TIMEOUT_S, Promoter
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group, Target
+from siskindale.proxy.transactions import TransactionRunner
 from siskindale.proxy.watch import GroupWatch
 from siskindale.runtime.logs import logger
 
@@ -42,6 +43,7 @@
         peers: Peers,
         ownership: Ownership,
         duties: Duties,
+        transactions: TransactionRunner,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -49,6 +51,7 @@
         self._peers = peers
         self._ownership = ownership
         self._duties = duties
+        self._transactions = transactions
         self._promoter = Promoter(settings, pool, peers, duties)
         self._watches: dict[str, GroupWatch] = {}
         peers.on_promotion(self._note_promotion)
@@ -121,6 +124,7 @@
         if leadership.adopt_registered_primary(watch.group):
             self._pool.dispatch(watch.group)
         self._pool.maintain(watch.group)
+        self._transactions.limit_resting(watch.group, self._state.transaction_idle_s)
 
     def _is_probe_due(self, watch: GroupWatch, primary: Target, now: float) -> bool:
         if self._pool.drop_closed(watch.group, primary):
--- a/siskindale/proxy/owner.py
+++ b/siskindale/proxy/owner.py
@@ -120,7 +120,7 @@
         elif isinstance(body, ForwardedEnd):
             transaction = self._open.pop(body.handle, None)
             if transaction is not None:
-                self._transactions.end(transaction)
+                self._fail(transaction)
         elif isinstance(body, LinkProbe):
             self._send(body, number)
 
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -19,7 +19,7 @@
     TargetConnection,
     probe_primary,
 )
-from siskindale.proxy.decisions import connections, leadership, placement, waiting
+from siskindale.proxy.decisions import connections, leadership, placement, resting, waiting
 from siskindale.proxy.tables import Group, Need, Target, Waiter
 from siskindale.runtime.logs import logger
 
@@ -207,6 +207,17 @@
             group, need, excluded, settings.failure_domain, self.now(), settings.drain_s
         )
 
+    def targets_without_connections(self, group: Group) -> list[Target]:
+        """Returns targets that statements wait for only because all connections are held."""
+        vm_count = self._vm_count(group)
+        return [
+            target
+            for target in group.targets.values()
+            if resting.waits_for_connections(
+                group, target, waiting.running_limit(target.entry.slots, vm_count)
+            )
+        ]
+
     def cannot_be_served(self, group: Group, need: Need) -> bool:
         """Returns whether a new statement would not get its reply before its deadline."""
         if not group.waiters:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -87,7 +87,6 @@
         store = PlatformStore(settings.store)
         self._directory = Directory(store, self._membership)
         duties = Duties(settings, store, ownership)
-        self._failover = Failover(settings, self._state, self._pool, self._peers, ownership, duties)
         self._duty = DutyKeeper(settings, self._state, self._peers, ownership, duties)
         self._catalog = CatalogFollower(store, self._state, self._peers.announce_soon)
         self._targets = TargetsFollower(
@@ -99,6 +98,15 @@
         )
         self._forwarding_runners: Forwarding | None = None
         self._runners = self._build_runners()
+        self._failover = Failover(
+            settings,
+            self._state,
+            self._pool,
+            self._peers,
+            ownership,
+            duties,
+            self._runners.transactions,
+        )
         self._server = SessionServer(settings.clients, self._state, self._runners, listener)
 
     def _build_runners(self) -> Runners:
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -20,7 +20,7 @@
 from siskindale.platform import wire
 from siskindale.proxy import metrics
 from siskindale.proxy.connection import TargetConnection
-from siskindale.proxy.decisions import outcomes, placement
+from siskindale.proxy.decisions import outcomes, placement, resting
 from siskindale.proxy.decisions.freshness import required_position
 from siskindale.proxy.decisions.outcomes import Progress, StatementKind
 from siskindale.proxy.decisions.session_state import SessionValues
@@ -43,7 +43,7 @@
 TRANSACTION_REPLY_TIMEOUT_S = 0.5
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Transaction:
     """An open transaction of a client.
 
@@ -86,6 +86,7 @@
     def __init__(self, pool: ConnectionPool, router: Router) -> None:
         self._pool = pool
         self._router = router
+        self._resting: set[Transaction] = set()
 
     def begin_in_background(
         self,
@@ -109,6 +110,7 @@
     ) -> Reply:
         """Runs one statement of a transaction, or its commit, and starts it before if needed."""
         transaction.running, transaction.used_at = True, self._pool.now()
+        self._resting.discard(transaction)
         try:
             if transaction.connection is None:
                 begin_error = self._ensure_begun(transaction, values, session_position)
@@ -119,6 +121,8 @@
             return self._run_begun(transaction, values, statement, work)
         finally:
             transaction.running, transaction.used_at = False, self._pool.now()
+            if transaction.connection is not None:
+                self._resting.add(transaction)
 
     def _ensure_begun(
         self,
@@ -188,6 +192,9 @@
             if error is None:
                 transaction.connection = connection
                 connection.target.resting_count += 1
+                if not transaction.running:
+                    transaction.used_at = self._pool.now()
+                    self._resting.add(transaction)
                 return None
             metrics.RETRIES.labels(error.value).inc()
             if error is ErrorCode.READ_ONLY:
@@ -344,6 +351,7 @@
         begin_greenlet, transaction.begin_greenlet = transaction.begin_greenlet, None
         if begin_greenlet is not None:
             begin_greenlet.kill()
+        self._resting.discard(transaction)
         connection, transaction.connection = transaction.connection, None
         if connection is None:
             return
@@ -353,3 +361,26 @@
             self._pool.release(transaction.group, connection)
         else:
             self._pool.roll_back(transaction.group, connection)
+
+    def limit_resting(self, group: Group, idle_limit_s: float) -> None:
+        """Rolls back transactions that rest on connections which other statements wait for."""
+        bound = self._pool.targets_without_connections(group)
+        if not bound:
+            return
+        limit_s = resting.rest_limit(idle_limit_s, len(group.waiters))
+        oldest = self._pool.now() - limit_s
+        for transaction in sorted(self._resting, key=lambda t: t.used_at):
+            connection = transaction.connection
+            if transaction.used_at > oldest or len(group.waiters) == 0:
+                return
+            if connection is not None and connection.target in bound:
+                logger().info(
+                    "transaction-aborted",
+                    request=transaction.begin_request_id.decode(errors="replace"),
+                    target=connection.target.id,
+                    reason="rests on a scarce connection",
+                    waiting=len(group.waiters),
+                    limit_ms=round(limit_s * 1000),
+                )
+                transaction.failed = True
+                self.end(transaction)
--- a/siskindale/transport/frames.py
+++ b/siskindale/transport/frames.py
@@ -17,6 +17,9 @@
 MAX_FRAME_BYTES = 8 << 20
 READ_CHUNK_BYTES = 1 << 16
 LENGTH_BYTES = 4
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_PROBE_S = 3
+KEEPALIVE_PROBES = 3
 
 
 class FrameError(Exception):
@@ -28,6 +31,11 @@
 
     def __init__(self, sock: socket.socket) -> None:
         sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
+        # The other end may vanish while nothing is being sent.
+        sock.setsockopt(system_socket.SOL_SOCKET, system_socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_KEEPINTVL, KEEPALIVE_PROBE_S)
+        sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
         self._socket = sock
         self._buffer = bytearray()
         self._send_lock = RLock()
