Refuse statements that wait too long for a busy target, and spread news with fewer bytes

A restart made each VM pass each fact on 42 times.

Change: a statement leaves the queue of a busy target after 0.45 of its time. News go out in log2(N) messages a VM, two of three within the failure domain. The watch of the catalog waits until 1 s before it must be in effect. An entry VM waits 50 ms beyond the deadline for an owner's certain answer.

--- a/siskindale/proxy/decisions/membership.py
+++ b/siskindale/proxy/decisions/membership.py
@@ -18,8 +18,8 @@
 SUSPICION_TIMEOUT_S = 2.0
 # Facts of VMs that are gone are kept so that older facts of them are recognized.
 GONE_RETENTION_S = 60.0
-# Each fact is passed on this many times for each doubling of the fleet.
-TRANSMISSIONS_PER_DOUBLING = 2
+# A fact reaches the fleet in about log2(N) messages a VM; each time it goes to this many VMs.
+NEWS_FANOUT = 3
 
 
 @attrs.define(eq=False)
@@ -130,6 +130,20 @@
         candidates = [fact for fact in self.others() if fact.vm not in excluded]
         return self.random.sample(candidates, min(count, len(candidates)))
 
+    def news_receivers(self) -> list[MemberFact]:
+        """Returns the VMs to pass news on to: one anywhere, the others in the own failure domain.
+
+        Bytes between failure domains are expensive.
+        """
+        anywhere = self.sample(1)
+        others = [
+            fact
+            for fact in self.others()
+            if fact.failure_domain == self.own.failure_domain and fact not in anywhere
+        ]
+        near = self.random.sample(others, min(NEWS_FANOUT - 1, len(others)))
+        return [*anywhere, *near]
+
     @property
     def digest(self) -> int:
         """Hash of all facts; equal tables have equal hashes."""
@@ -173,4 +187,4 @@
 
 def transmissions(members: int) -> int:
     """Returns how often a VM passes a fact on in a fleet of this size."""
-    return TRANSMISSIONS_PER_DOUBLING * math.ceil(math.log2(members + 1))
+    return math.ceil(math.log2(members + 1) / NEWS_FANOUT)
--- a/siskindale/proxy/decisions/waiting.py
+++ b/siskindale/proxy/decisions/waiting.py
@@ -19,6 +19,8 @@
 STATEMENTS_PER_SLOT = 3
 # A statement that gets its connection later than this before its objective is late all the same.
 RUN_TIME_S = 0.03
+# Share of the time until its deadline for which a statement waits for a busy target.
+MAX_QUEUE_SHARE = 0.45
 # A VM whose only statement at a target is a long one must not block its other statements.
 MIN_RUNNING = 2
 
@@ -62,6 +64,15 @@
     return max(MIN_RUNNING, math.ceil(STATEMENTS_PER_SLOT * slots / max(1, vm_count)))
 
 
+def queue_deadline(need: Need, arrived_at: float) -> float:
+    """Returns until when a statement waits for targets that are busy but can be reached.
+
+    One that waits longer is overtaken by all that arrive after it. Its client gains more from
+    trying again than from a refusal at the end of its time.
+    """
+    return arrived_at + MAX_QUEUE_SHARE * (need.deadline - arrived_at)
+
+
 def expected_wait(
     group: Group, candidates: Sequence[Target], need: Need, vm_count: int, now: float
 ) -> float:
--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -5,15 +5,16 @@
 import gevent
 from returns.result import Failure, Result, Success
 
+from siskindale.models.vm import ProxySettings
 from siskindale.platform.entries import CATALOG_KEY, CATALOG_TABLE, TARGETS_TABLE
 from siskindale.proxy import metrics
 from siskindale.proxy.state import ProxyState
 from siskindale.runtime.logs import logger
 from siskindale.store.interface import Changes, PlatformError, PlatformFailure, WatchedTables
 
-# A configuration must take effect within 3 s. Within that time, a watch that hangs after an outage
-# without any answer must end and the next one must succeed.
-CATALOG_WAIT_S = 2.0
+# A watch that hangs after an outage without any answer must end, and the next one must succeed,
+# this long before a configuration has to be in effect. Longer waits cost fewer calls.
+CATALOG_RESERVE_S = 1.0
 TIMEOUT_RETRY_S = 0.05
 # Each read has a cost, so a VM reads only at this interval, and VMs notify each other of changes.
 # A VM that gets no notice still learns of a draining target within the time for which it serves.
@@ -73,13 +74,22 @@
             logger().info(event, table=self._table, reason=reason)
 
 
+def catalog_wait(settings: ProxySettings) -> float:
+    """Returns the seconds for which a watch of the catalog waits."""
+    return max(CATALOG_RESERVE_S, settings.catalog_apply_s - CATALOG_RESERVE_S)
+
+
 class CatalogFollower:
     """Applies each new catalog as soon as the store has it."""
 
     def __init__(
-        self, tables: WatchedTables, state: ProxyState, notify_peers: Callable[[], None]
+        self,
+        settings: ProxySettings,
+        tables: WatchedTables,
+        state: ProxyState,
+        notify_peers: Callable[[], None],
     ) -> None:
-        self._follower = TableFollower(tables, CATALOG_TABLE, CATALOG_WAIT_S)
+        self._follower = TableFollower(tables, CATALOG_TABLE, catalog_wait(settings))
         self._state = state
         self._notify_peers = notify_peers
 
--- a/siskindale/proxy/forwarding.py
+++ b/siskindale/proxy/forwarding.py
@@ -33,6 +33,9 @@
 from siskindale.proxy.transactions import Transaction
 from siskindale.runtime.logs import logger
 
+# An owner that is short of processor time answers later than planned. Its certain answer is worth
+# more to the client than an unknown outcome at the deadline.
+LATE_REPLY_S = 0.05
 # Pause before owners are tried again when none can be reached.
 NO_OWNER_RETRY_S = 0.05
 
@@ -124,7 +127,7 @@
         )
         metrics.FORWARDED.labels("statement").inc()
         try:
-            received = link.request(message, remaining_s)
+            received = link.request(message, remaining_s + LATE_REPLY_S)
         except LinkBrokenError as error:
             self._selector.note_broken(owner)
             return self._after_broken_link(execution, owner, str(error))
@@ -213,7 +216,7 @@
         metrics.FORWARDED.labels("step").inc()
         reason = "no reply in time"
         try:
-            received = link.request(message, deadline - self._state.now())
+            received = link.request(message, deadline + LATE_REPLY_S - self._state.now())
         except LinkBrokenError as error:
             received, reason = None, str(error)
         if isinstance(received, ForwardedReply):
--- a/siskindale/proxy/members.py
+++ b/siskindale/proxy/members.py
@@ -34,7 +34,6 @@
 JOIN_INTERVAL_S = 0.3
 # News are collected for this long before they are passed on, since they come in bursts.
 NEWS_DELAY_S = 0.05
-NEWS_FANOUT = 3
 NEWS_PER_DATAGRAM = 12
 MAX_DATAGRAM_BYTES = 8192
 # Tables may differ while news spread; only a difference that lasts calls for a complete exchange.
@@ -179,7 +178,7 @@
         facts = self._table.take_news(NEWS_PER_DATAGRAM)
         if not facts:
             return
-        for member in self._table.sample(NEWS_FANOUT):
+        for member in self._table.news_receivers():
             self._send(member.peers, MemberFacts(facts))
         if any(row.transmissions_left for row in self._table.rows.values()):
             self._news.set()
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -218,6 +218,10 @@
             )
         ]
 
+    def reachable(self, group: Group, need: Need) -> bool:
+        """Returns whether any target can run a statement, perhaps after others."""
+        return bool(self._possible_targets(group, need, ()))
+
     def cannot_be_served(self, group: Group, need: Need) -> bool:
         """Returns whether a new statement would not get its reply before its deadline."""
         if not group.waiters:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -88,7 +88,7 @@
         self._directory = Directory(store, self._membership)
         duties = Duties(settings, store, ownership)
         self._duty = DutyKeeper(settings, self._state, self._peers, ownership, duties)
-        self._catalog = CatalogFollower(store, self._state, self._peers.announce_soon)
+        self._catalog = CatalogFollower(settings, store, self._state, self._peers.announce_soon)
         self._targets = TargetsFollower(
             store,
             self._state,
--- a/siskindale/proxy/settings.py
+++ b/siskindale/proxy/settings.py
@@ -15,7 +15,7 @@
 
 _OPTIONAL_FIELDS = frozenset(
     {"seeds", "drain_ms", "grace_s", "metrics_port", "log_level", "processor_share", "cores"}
-)
+) | {"catalog_apply_ms"}
 _KNOWN_FIELDS = _OPTIONAL_FIELDS | {
     "vm",
     "failure_domain",
@@ -82,6 +82,7 @@
             grace_s=self._read_number("grace_s", 6),
             metrics_port=self._read_port("metrics_port", 9464),
             log_level=self._read_log_level(),
+            catalog_apply_s=self._read_number("catalog_apply_ms", 3000) / 1000,
             processor_share=self._read_number("processor_share", 1.0),
             cores=int(self._read_number("cores", 1)),
         )
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -9,7 +9,7 @@
 from siskindale.platform import wire
 from siskindale.proxy import metrics
 from siskindale.proxy.connection import TargetConnection
-from siskindale.proxy.decisions import outcomes, placement
+from siskindale.proxy.decisions import outcomes, placement, waiting
 from siskindale.proxy.decisions.freshness import required_position
 from siskindale.proxy.decisions.outcomes import Progress, StatementKind, Step
 from siskindale.proxy.decisions.session_state import SessionValues
@@ -69,11 +69,18 @@
         last_error = ErrorCode.OVERLOADED
         while True:
             need = self._build_need(execution)
+            queue_deadline = execution.deadline
             full_need = attrs.evolve(need, deadline=execution.deadline)
             if self._pool.cannot_be_served(execution.group, full_need):
                 return self._refuse_overloaded(execution, last_error)
+            overloaded = self._pool.reachable(execution.group, need)
+            if overloaded:
+                queue_deadline = waiting.queue_deadline(full_need, execution.arrived_at)
+                need = attrs.evolve(need, deadline=min(need.deadline, queue_deadline))
             connection = self._pool.acquire(execution.group, need, execution.excluded)
             if connection is None:
+                if overloaded and self._pool.now() >= queue_deadline:
+                    return self._refuse_overloaded(execution, last_error)
                 if self._pool.now() < execution.deadline:
                     self._router.reset_exhausted_exclusions(execution.group, execution.excluded)
                     continue
--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -34,6 +34,7 @@
         "port_range.0": 7440,
         "limits.cpu_share": 0.717,
         "limits.cores": 3,
+        "bounds.config_apply_ms": 5000,
         "bounds.drain_ms": 9000,
         "bounds.grace_s": 5,
         "seeds": ["10.2.0.6:8782", "10.3.0.7:8782"],
@@ -65,6 +66,7 @@
     assert settings.store == Address("10.200.1.7", 8783)
     assert settings.seeds == (Address("10.2.0.6", 8782), Address("10.3.0.7", 8782))
     assert (settings.drain_s, settings.grace_s) == (9.0, 5.0)
+    assert settings.catalog_apply_s == 5.0
     assert settings.forwarding == Address("10.1.0.8", 7440)
     assert settings.capacity == pytest.approx(2.151)
 
