Take a new fencing token after two refusals

Cause, found by reading: a fleet that grows past 12 VMs changes from one duty to one a group. A holder of the old duty would order with a token that is older than one already used, be refused, and keep it. The test fails without the change.

--- a/siskindale/proxy/promoter.py
+++ b/siskindale/proxy/promoter.py
@@ -21,6 +21,8 @@
 LEADERSHIP_CHECK_INTERVAL_S = 0.06
 RETRY_S = 0.1
 MAX_PROMOTION_CALLS = 10
+# A single refusal may also mean that the chosen target does not run.
+MAX_REFUSALS = 2
 
 
 class Promoter:
@@ -42,6 +44,9 @@
         if duty.token is None and not duty.take(f"{group.name}: {reason.value}"):
             gevent.sleep(RETRY_S)
             return
+        if watch.refusals >= MAX_REFUSALS and watch.refused_token == duty.token:
+            # A VM that held another duty of this group has used a newer token.
+            duty.take(f"{group.name}: token was refused")
         received = received_positions(self._pool, group)
         successors = failover.rank_successors(group, received)
         logger().info(
@@ -76,6 +81,7 @@
             if outcome is PromotionOutcome.ACCEPTED or group.leadership.primary_id == successor.id:
                 return True
             if outcome is PromotionOutcome.REJECTED:
+                self._count_refusal(watch)
                 self._duties.of(group).refresh()
                 successor.avoid_until = self._pool.now() + RETRY_S
                 return False
@@ -89,6 +95,11 @@
                 return False
         return False
 
+    def _count_refusal(self, watch: GroupWatch) -> None:
+        token = self._duties.of(watch.group).token or 0
+        watch.refusals = watch.refusals + 1 if watch.refused_token == token else 1
+        watch.refused_token = token
+
     def _rule_out_unanswered_call(self, watch: GroupWatch, successor: Target) -> bool:
         """Ensures that no earlier call can promote another target; returns whether it succeeded.
 
--- a/siskindale/proxy/watch.py
+++ b/siskindale/proxy/watch.py
@@ -15,6 +15,7 @@
     `peer_ordered_at`: when a peer last ordered a promotion.
     `pending_primary_id`, `pending_since`: last seen `Leadership.pending_primary_id`, and when it
     changed.
+    `refused_token`, `refusals`: fencing token with which calls were refused, and how often.
     `unanswered`: the last call to promote a target that got no answer.
     """
 
@@ -29,4 +30,6 @@
     pending_primary_id: str = ""
     pending_since: float = 0.0
     peer_ordered_at: float = 0.0
+    refused_token: int = 0
+    refusals: int = 0
     unanswered: UnansweredPromotion | None = None
--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -181,6 +181,10 @@
             gevent.sleep(self.faults.promotion_delay_s)
         return (200 if self._apply_promotion(call) else 409), {}
 
+    def use_fencing_token(self, group: str, fencing_token: int) -> None:
+        """Makes older tokens of a group invalid, as a promotion with this one would."""
+        self._fencing_tokens[group] = fencing_token
+
     def _apply_promotion(self, call: PromotionCall) -> bool:
         if call.fencing_token < self._fencing_tokens.get(call.group, 0):
             return False
--- a/tests/proxy/test_duty.py
+++ b/tests/proxy/test_duty.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.proxy.deployment import Deployment, Proxy, eventually
+from tests.proxy.deployment import GROUP, Deployment, Proxy, eventually
 
 
 @pytest.fixture
@@ -61,3 +61,23 @@
     eventually(lambda: client.query("WRITE item 2").error is None, "a successor leads")
     assert deployment.platform.row("duties", "failover") == version
     assert len({call.holder for call in deployment.platform.promotions}) == 1
+
+
+def test_a_holder_takes_a_new_token_after_refusals(deployment: Deployment) -> None:
+    """Guards against a holder that orders for ever with a token older than one already used.
+
+    A fleet that grows past the size of full ownership has other duties, with newer tokens.
+    """
+    proxy = deployment.start_proxy("vm1")
+    client = proxy.client()
+    assert client.query("WRITE item 1").error is None
+    eventually(lambda: holder(deployment), "the proxy has taken the duty")
+    for number in range(20):
+        deployment.platform.put("other", f"row{number}", {})
+    row = deployment.platform.row("duties", "failover")
+    assert row is not None
+    deployment.platform.use_fencing_token(GROUP, row.version + 10)
+    deployment.group.primary.crash()
+    eventually(lambda: client.query("WRITE item 2").error is None, "a successor leads")
+    tokens = [call.fencing_token for call in deployment.platform.promotions]
+    assert tokens.count(row.version) <= 3
