Find VMs again after a partition, and name gossip and idle transactions by their usual terms

Cause, found by reading: two halves of a fleet that had declared each other gone forgot each other after 60 s and never met again, and questions to seeds without an answer were kept for ever. Each VM now pings one lost VM or seed a second. Names: updates and gossip instead of news and rumour, idle instead of resting.

--- a/siskindale/models/members.py
+++ b/siskindale/models/members.py
@@ -39,7 +39,7 @@
 @message("member-ping")
 @attrs.frozen
 class MemberPing:
-    """Asks whether a VM is alive, and carries news.
+    """Asks whether a VM is alive, and carries updates.
 
     `digest` is a hash of all facts that the sender knows. `wants_all` asks for all facts of the
     receiver.
--- a/siskindale/proxy/decisions/resting.py
+++ b/siskindale/proxy/decisions/idle_transactions.py
@@ -1,4 +1,4 @@
-"""How long a transaction may rest on a connection that others wait for.
+"""How long a transaction may be idle on a connection that others wait for.
 
 Load pattern: clients begin transactions, write and then do nothing, until they hold all connections
 of a primary whose slots are idle. A transaction that is rolled back for this fails with an error
@@ -8,12 +8,12 @@
 from siskindale.proxy.tables import Group, Target
 
 # Longer than clients take between two statements of a transaction that goes on.
-MIN_REST_S = 0.5
+MIN_IDLE_S = 0.5
 
 
-def rest_limit(idle_limit_s: float, waiting_count: int) -> float:
-    """Returns after how many seconds of rest a transaction is rolled back."""
-    return min(idle_limit_s, max(MIN_REST_S, idle_limit_s / (1 + waiting_count)))
+def idle_limit(idle_limit_s: float, waiting_count: int) -> float:
+    """Returns after how many idle seconds a transaction is rolled back."""
+    return min(idle_limit_s, max(MIN_IDLE_S, idle_limit_s / (1 + waiting_count)))
 
 
 def waits_for_connections(group: Group, target: Target, running_limit: int) -> bool:
--- a/siskindale/proxy/decisions/membership.py
+++ b/siskindale/proxy/decisions/membership.py
@@ -1,7 +1,7 @@
 """What a VM believes of the other VMs of its fleet.
 
-Facts spread by rumour: each one is passed on a number of times that grows with the logarithm of the
-fleet, so that the messages of a VM do not grow with it. A VM that does not answer is suspected
+Facts spread by gossip: each one is passed on a number of times that grows with the logarithm of the
+fleet, so that the messages of a VM hardly grow with it. A VM that does not answer is suspected
 first, and counts as gone if it does not refute that.
 """
 
@@ -12,6 +12,7 @@
 import attrs
 import xxhash
 
+from siskindale.models.address import Address
 from siskindale.models.members import MemberFact, MemberState
 
 # A suspected VM has this long to refute it: a few exchanges, and a pause of a slow VM.
@@ -19,7 +20,7 @@
 # Facts of VMs that are gone are kept so that older facts of them are recognized.
 GONE_RETENTION_S = 60.0
 # A fact reaches the fleet in about log2(N) messages a VM; each time it goes to this many VMs.
-NEWS_FANOUT = 3
+GOSSIP_FANOUT = 3
 
 
 @attrs.define(eq=False)
@@ -65,6 +66,10 @@
         """Returns the members without this VM."""
         return [fact for fact in self.members() if fact.vm != self.own.vm]
 
+    def gone(self) -> list[Address]:
+        """Returns the addresses of VMs that count as gone."""
+        return [r.fact.peers for r in self.rows.values() if r.fact.state is MemberState.GONE]
+
     def fact(self, vm: str) -> MemberFact | None:
         """Returns what is known of a VM."""
         row = self.rows.get(vm)
@@ -104,7 +109,7 @@
         """Records that this VM takes no new work any more."""
         self._assert_own(MemberState.DRAINING, self.own.incarnation + 1, now)
 
-    def take_news(self, limit: int) -> tuple[MemberFact, ...]:
+    def take_updates(self, limit: int) -> tuple[MemberFact, ...]:
         """Returns the facts that were passed on least, and counts them as passed on once more."""
         pending = sorted(
             (row for row in self.rows.values() if row.transmissions_left),
@@ -130,8 +135,8 @@
         candidates = [fact for fact in self.others() if fact.vm not in excluded]
         return self.random.sample(candidates, min(count, len(candidates)))
 
-    def news_receivers(self) -> list[MemberFact]:
-        """Returns the VMs to pass news on to: one anywhere, the others in the own failure domain.
+    def gossip_receivers(self) -> list[MemberFact]:
+        """Returns the VMs to pass updates on to: one anywhere, the others in the own domain.
 
         Bytes between failure domains are expensive.
         """
@@ -141,7 +146,7 @@
             for fact in self.others()
             if fact.failure_domain == self.own.failure_domain and fact not in anywhere
         ]
-        near = self.random.sample(others, min(NEWS_FANOUT - 1, len(others)))
+        near = self.random.sample(others, min(GOSSIP_FANOUT - 1, len(others)))
         return [*anywhere, *near]
 
     @property
@@ -187,4 +192,4 @@
 
 def transmissions(members: int) -> int:
     """Returns how often a VM passes a fact on in a fleet of this size."""
-    return math.ceil(math.log2(members + 1) / NEWS_FANOUT)
+    return math.ceil(math.log2(members + 1) / GOSSIP_FANOUT)
--- a/siskindale/proxy/decisions/ownership.py
+++ b/siskindale/proxy/decisions/ownership.py
@@ -14,7 +14,7 @@
 
 # In a fleet of this size each VM keeps its own connections, which saves the hop.
 FULL_OWNERSHIP_VMS = 12
-# Connections that an owner needs for statements and for transactions whose clients rest.
+# Connections that an owner needs for statements and for idle transactions.
 CONNECTIONS_PER_OWNER = 4
 # Not owned by anybody, for connections of lost VMs that a target still counts.
 UNOWNED_CONNECTIONS = 2
--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -124,7 +124,7 @@
         if leadership.adopt_registered_primary(watch.group):
             self._pool.dispatch(watch.group)
         self._pool.maintain(watch.group)
-        self._transactions.limit_resting(watch.group, self._state.transaction_idle_s)
+        self._transactions.limit_idle(watch.group, self._state.transaction_idle_s)
 
     def _is_probe_due(self, watch: GroupWatch, primary: Target, now: float) -> bool:
         if self._pool.drop_closed(watch.group, primary):
--- a/siskindale/proxy/members.py
+++ b/siskindale/proxy/members.py
@@ -33,10 +33,9 @@
 INDIRECT_PROBES = 2
 JOIN_INTERVAL_S = 0.3
 # News are collected for this long before they are passed on, since they come in bursts.
-NEWS_DELAY_S = 0.05
-NEWS_PER_DATAGRAM = 12
-MAX_DATAGRAM_BYTES = 8192
-# Tables may differ while news spread; only a difference that lasts calls for a complete exchange.
+GOSSIP_DELAY_S = 0.05
+FACTS_PER_DATAGRAM = 12
+# Tables differ while updates spread; only a lasting difference calls for a complete exchange.
 QUIET_BEFORE_SYNC_S = 1.5
 # If a wait takes this much longer than planned, this VM was paused, and silence proves nothing.
 STALL_THRESHOLD_S = 0.5
@@ -80,11 +79,13 @@
         self._catalog_version = catalog_version
         self._on_newer_catalog = on_newer_catalog
         self._socket: Any = None
+        self._greenlets: list[gevent.Greenlet] = []
         self._probes: dict[int, _Probe] = {}
-        self._next_id = 0
-        self._news = Event()
+        self._next_probe_id = 0
+        self._updates = Event()
         self._changed_at = clock.monotonic()
         self._synced_at = 0.0
+        self._differs = False
 
     @property
     def table(self) -> MemberTable:
@@ -100,8 +101,13 @@
         address = self._table.own.peers
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((address.host, address.port))
-        for task in (self._receive, self._probe_members, self._spread_news):
-            gevent.spawn(task)
+        tasks = (self._receive, self._probe_members, self._spread_updates)
+        self._greenlets = [gevent.spawn(task) for task in tasks]
+
+    def stop(self) -> None:
+        """Stops at once, without telling the fleet."""
+        gevent.killall(self._greenlets)
+        self._socket.close()
 
     def adopt(self, facts: Sequence[MemberFact]) -> None:
         """Applies facts from another source, such as the store."""
@@ -110,8 +116,8 @@
     def drain(self) -> None:
         """Tells the fleet that this VM takes no new work any more."""
         self._table.drain(self._clock.monotonic())
-        self._note_news()
-        self._send_news()
+        self._note_update()
+        self._send_updates()
 
     def _probe_members(self) -> None:
         while True:
@@ -122,13 +128,14 @@
                 continue
             started_at = self._clock.monotonic()
             self._probe(target)
-            self._expire(started_at)
+            self._expire()
+            self._contact_lost()
             elapsed_s = self._clock.monotonic() - started_at
             gevent.sleep(max(0.05, PROBE_INTERVAL_S - elapsed_s))
 
     def _join(self) -> None:
         for seed in self._seeds:
-            self._send(seed, self._ping(wants_all=True), self._add_probe(_Probe()))
+            self._send(seed, self._ping(wants_all=True))
 
     def _probe(self, target: MemberFact) -> None:
         """Asks one VM whether it is alive, directly and then through others."""
@@ -147,16 +154,24 @@
             self._table.restart_suspicions(now)
         elif not probe.answered.is_set() and self._table.suspect(target.vm, now):
             logger().info("member-suspected", member=target.vm)
-            self._note_news()
+            self._note_update()
 
-    def _expire(self, started_at: float) -> None:
+    def _expire(self) -> None:
+        """Declares suspected VMs gone, and forgets those that have been gone for long."""
         now = self._clock.monotonic()
         for fact in self._table.expire_suspects(now):
             logger().info("member-gone", member=fact.vm, incarnation=fact.incarnation)
-            self._note_news()
+            self._note_update()
         self._table.forget_gone(now)
         metrics.MEMBERS.value = len(self._table.members())
 
+    def _contact_lost(self) -> None:
+        """Pings one VM that seems to be gone, as a partition between the two may have ended."""
+        members = {fact.peers for fact in self._table.members()}
+        lost = [*self._table.gone(), *(seed for seed in self._seeds if seed not in members)]
+        if lost:
+            self._send(self._table.random.choice(lost), self._ping())
+
     def _needs_sync(self) -> bool:
         """Returns whether an earlier answer showed a table that still differs from this one."""
         now = self._clock.monotonic()
@@ -165,27 +180,25 @@
         self._differs = False
         return now - self._synced_at >= QUIET_BEFORE_SYNC_S
 
-    _differs = False
-
-    def _spread_news(self) -> None:
+    def _spread_updates(self) -> None:
         while True:
-            self._news.wait()
-            gevent.sleep(NEWS_DELAY_S)
-            self._news.clear()
-            self._send_news()
+            self._updates.wait()
+            gevent.sleep(GOSSIP_DELAY_S)
+            self._updates.clear()
+            self._send_updates()
 
-    def _send_news(self) -> None:
-        facts = self._table.take_news(NEWS_PER_DATAGRAM)
+    def _send_updates(self) -> None:
+        facts = self._table.take_updates(FACTS_PER_DATAGRAM)
         if not facts:
             return
-        for member in self._table.news_receivers():
+        for member in self._table.gossip_receivers():
             self._send(member.peers, MemberFacts(facts))
         if any(row.transmissions_left for row in self._table.rows.values()):
-            self._news.set()
+            self._updates.set()
 
-    def _note_news(self) -> None:
+    def _note_update(self) -> None:
         self._changed_at = self._clock.monotonic()
-        self._news.set()
+        self._updates.set()
 
     def _merge(self, facts: Sequence[MemberFact]) -> None:
         changed = self._table.merge(facts, self._clock.monotonic())
@@ -193,12 +206,12 @@
             event = "member-changed" if fact.vm != self._table.own.vm else "member-refuted"
             logger().debug(event, member=fact.vm, state=fact.state.name.lower())
         if changed:
-            self._note_news()
+            self._note_update()
 
     def _ping(self, wants_all: bool = False) -> MemberPing:
         own = self._table.own
-        news = (own, *self._table.take_news(NEWS_PER_DATAGRAM))
-        return MemberPing(news, self._table.digest, self._catalog_version(), wants_all)
+        facts = (own, *self._table.take_updates(FACTS_PER_DATAGRAM))
+        return MemberPing(facts, self._table.digest, self._catalog_version(), wants_all)
 
     def _receive(self) -> None:
         while True:
@@ -218,7 +231,7 @@
         sender = Address.parse(envelope.reply_to)
         known = self._table.fact(envelope.sender)
         corrections = (known,) if known is not None and known not in ping.facts else ()
-        facts = (*corrections, self._table.own, *self._table.take_news(NEWS_PER_DATAGRAM))
+        facts = (*corrections, self._table.own, *self._table.take_updates(FACTS_PER_DATAGRAM))
         answer = MemberPingAnswer(facts, self._table.digest, self._catalog_version())
         self._send(sender, answer, envelope.correlation_id)
         if ping.wants_all:
@@ -262,13 +275,13 @@
         """Sends all facts in as many datagrams as they need."""
         facts = [row.fact for row in self._table.rows.values()]
         self._synced_at = self._clock.monotonic()
-        for start in range(0, len(facts), NEWS_PER_DATAGRAM):
-            self._send(receiver, MemberFacts(tuple(facts[start : start + NEWS_PER_DATAGRAM])))
+        for start in range(0, len(facts), FACTS_PER_DATAGRAM):
+            self._send(receiver, MemberFacts(tuple(facts[start : start + FACTS_PER_DATAGRAM])))
 
     def _add_probe(self, probe: _Probe) -> int:
-        self._next_id += 1
-        self._probes[self._next_id] = probe
-        return self._next_id
+        self._next_probe_id += 1
+        self._probes[self._next_probe_id] = probe
+        return self._next_probe_id
 
     def _send(self, receiver: Address, body: Body, correlation_id: int = 0) -> None:
         own = self._table.own
--- a/siskindale/proxy/ownership.py
+++ b/siskindale/proxy/ownership.py
@@ -29,7 +29,9 @@
         if found is None:
             # A VM that drains or knows nobody else still serves its own clients.
             members = self._table.serving() or [self._table.own]
-            found = self._owners[key] = ownership.owners(*key[:1], members, key[1])
+            found = self._owners[key] = ownership.owners(
+                group.name, members, group.limits.max_connections
+            )
         return found
 
     def owns(self, group: Group) -> bool:
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -19,7 +19,13 @@
     TargetConnection,
     probe_primary,
 )
-from siskindale.proxy.decisions import connections, leadership, placement, resting, waiting
+from siskindale.proxy.decisions import (
+    connections,
+    idle_transactions,
+    leadership,
+    placement,
+    waiting,
+)
 from siskindale.proxy.tables import Group, Need, Target, Waiter
 from siskindale.runtime.logs import logger
 
@@ -213,7 +219,7 @@
         return [
             target
             for target in group.targets.values()
-            if resting.waits_for_connections(
+            if idle_transactions.waits_for_connections(
                 group, target, waiting.running_limit(target.entry.slots, vm_count)
             )
         ]
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -27,7 +27,7 @@
     `full_at`: when the target last refused a connection because it had none free.
     `silent_since`: since when statements have been waiting without any reply.
     `yield_until`: until when this VM leaves connections to a VM that has none.
-    `resting_count`: how many connections in flight belong to transactions whose clients rest.
+    `idle_transaction_count`: how many of the connections in flight belong to idle transactions.
     `lacking_position`: log position for which the target refused a read; its log is assumed to lack
     it until `lacking_until`.
     """
@@ -37,7 +37,7 @@
     open_count: int = 0
     opening_count: int = 0
     in_flight: int = 0
-    resting_count: int = 0
+    idle_transaction_count: int = 0
     latency_s: float = INITIAL_LATENCY_S
     latency_measured_at: float = 0.0
     silent_since: float | None = None
@@ -60,7 +60,7 @@
     @property
     def running_count(self) -> int:
         """Number of statements of this VM that the target is running or has queued."""
-        return self.in_flight - self.resting_count
+        return self.in_flight - self.idle_transaction_count
 
     @property
     def leaving(self) -> bool:
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -20,7 +20,7 @@
 from siskindale.platform import wire
 from siskindale.proxy import metrics
 from siskindale.proxy.connection import TargetConnection
-from siskindale.proxy.decisions import outcomes, placement, resting
+from siskindale.proxy.decisions import idle_transactions, outcomes, placement
 from siskindale.proxy.decisions.freshness import required_position
 from siskindale.proxy.decisions.outcomes import Progress, StatementKind
 from siskindale.proxy.decisions.session_state import SessionValues
@@ -86,7 +86,7 @@
     def __init__(self, pool: ConnectionPool, router: Router) -> None:
         self._pool = pool
         self._router = router
-        self._resting: set[Transaction] = set()
+        self._idle: set[Transaction] = set()
 
     def begin_in_background(
         self,
@@ -110,7 +110,7 @@
     ) -> Reply:
         """Runs one statement of a transaction, or its commit, and starts it before if needed."""
         transaction.running, transaction.used_at = True, self._pool.now()
-        self._resting.discard(transaction)
+        self._idle.discard(transaction)
         try:
             if transaction.connection is None:
                 begin_error = self._ensure_begun(transaction, values, session_position)
@@ -122,7 +122,7 @@
         finally:
             transaction.running, transaction.used_at = False, self._pool.now()
             if transaction.connection is not None:
-                self._resting.add(transaction)
+                self._idle.add(transaction)
 
     def _ensure_begun(
         self,
@@ -191,10 +191,10 @@
             error = self._begin_on_connection(transaction, values, connection, need)
             if error is None:
                 transaction.connection = connection
-                connection.target.resting_count += 1
+                connection.target.idle_transaction_count += 1
                 if not transaction.running:
                     transaction.used_at = self._pool.now()
-                    self._resting.add(transaction)
+                    self._idle.add(transaction)
                 return None
             metrics.RETRIES.labels(error.value).inc()
             if error is ErrorCode.READ_ONLY:
@@ -271,12 +271,12 @@
         """Runs one statement of a transaction that has a connection."""
         connection = transaction.connection
         assert connection is not None
-        connection.target.resting_count -= 1
+        connection.target.idle_transaction_count -= 1
         try:
             return self._exchange(transaction, connection, values, statement, work)
         finally:
             if transaction.connection is not None:
-                connection.target.resting_count += 1
+                connection.target.idle_transaction_count += 1
 
     def _exchange(
         self,
@@ -351,25 +351,25 @@
         begin_greenlet, transaction.begin_greenlet = transaction.begin_greenlet, None
         if begin_greenlet is not None:
             begin_greenlet.kill()
-        self._resting.discard(transaction)
+        self._idle.discard(transaction)
         connection, transaction.connection = transaction.connection, None
         if connection is None:
             return
         if not transaction.running:
-            connection.target.resting_count -= 1
+            connection.target.idle_transaction_count -= 1
         if connection.state is SessionState.IDLE:
             self._pool.release(transaction.group, connection)
         else:
             self._pool.roll_back(transaction.group, connection)
 
-    def limit_resting(self, group: Group, idle_limit_s: float) -> None:
-        """Rolls back transactions that rest on connections which other statements wait for."""
+    def limit_idle(self, group: Group, idle_limit_s: float) -> None:
+        """Rolls back transactions that are idle on connections which other statements wait for."""
         bound = self._pool.targets_without_connections(group)
         if not bound:
             return
-        limit_s = resting.rest_limit(idle_limit_s, len(group.waiters))
+        limit_s = idle_transactions.idle_limit(idle_limit_s, len(group.waiters))
         oldest = self._pool.now() - limit_s
-        for transaction in sorted(self._resting, key=lambda t: t.used_at):
+        for transaction in sorted(self._idle, key=lambda t: t.used_at):
             connection = transaction.connection
             if transaction.used_at > oldest or len(group.waiters) == 0:
                 return
@@ -378,7 +378,7 @@
                     "transaction-aborted",
                     request=transaction.begin_request_id.decode(errors="replace"),
                     target=connection.target.id,
-                    reason="rests on a scarce connection",
+                    reason="idle on a scarce connection",
                     waiting=len(group.waiters),
                     limit_ms=round(limit_s * 1000),
                 )
--- a/tests/proxy/test_resting.py
+++ b/tests/proxy/test_idle_transactions.py
@@ -1,8 +1,8 @@
-"""Tests of transactions that rest on connections which other statements wait for."""
+"""Tests of transactions that are idle on connections which other statements wait for."""
 
 from gevent.event import AsyncResult
 
-from siskindale.proxy.decisions import resting
+from siskindale.proxy.decisions import idle_transactions
 from siskindale.proxy.tables import Group, Need, Waiter
 from tests.proxy.deployment import Deployment, eventually
 
@@ -10,34 +10,34 @@
 
 
 def test_the_limit_falls_with_the_demand() -> None:
-    """Guards against rolling back resting transactions without need, and against keeping them."""
-    limits = [resting.rest_limit(3.0, waiting) for waiting in range(10)]
+    """Guards against rolling back idle transactions without need, and against keeping them."""
+    limits = [idle_transactions.idle_limit(3.0, waiting) for waiting in range(10)]
     assert limits[0] == 3.0
     assert limits == sorted(limits, reverse=True)
-    assert limits[-1] == resting.MIN_REST_S
-    assert resting.rest_limit(0.2, 10) == 0.2
+    assert limits[-1] == idle_transactions.MIN_IDLE_S
+    assert idle_transactions.idle_limit(0.2, 10) == 0.2
 
 
 def test_a_busy_target_is_not_helped_by_more_connections(group: Group) -> None:
     """Guards against aborted transactions while statements wait for slots, not connections."""
     target = group.targets["a"]
     group.waiters = [Waiter(WRITE, set(), AsyncResult())]
-    target.in_flight, target.resting_count = 6, 6
-    assert resting.waits_for_connections(group, target, running_limit=2)
-    target.resting_count = 3
-    assert not resting.waits_for_connections(group, target, running_limit=2)
+    target.in_flight, target.idle_transaction_count = 6, 6
+    assert idle_transactions.waits_for_connections(group, target, running_limit=2)
+    target.idle_transaction_count = 3
+    assert not idle_transactions.waits_for_connections(group, target, running_limit=2)
 
 
 def test_only_the_primary_is_short_of_connections_for_writes(group: Group) -> None:
     """Guards against aborting transactions at replicas that no statement waits for."""
     group.waiters = [Waiter(WRITE, set(), AsyncResult())]
-    assert not resting.waits_for_connections(group, group.targets["b"], running_limit=2)
+    assert not idle_transactions.waits_for_connections(group, group.targets["b"], running_limit=2)
 
 
-def test_writes_go_on_while_clients_rest_inside_transactions(deployment: Deployment) -> None:
+def test_writes_go_on_while_clients_are_idle_in_transactions(deployment: Deployment) -> None:
     """Guards against idle transactions that hold every connection of the primary.
 
-    The limit of idle transactions is 3 s; the target admits no more connections than the resting
+    The limit of idle transactions is 3 s; the target admits no more connections than the idle
     clients hold.
     """
     clients = 8
@@ -51,4 +51,4 @@
         rester.send(f"QUERY b{number} BEGIN\r\nQUERY w{number} WRITE other{number} 1\r\n".encode())
     writer = proxy.client()
     assert writer.query("WRITE item 1").error is None
-    eventually(lambda: "scarce" in proxy.log, "a resting transaction is rolled back")
+    eventually(lambda: "scarce" in proxy.log, "an idle transaction is rolled back")
--- a/tests/proxy/test_membership.py
+++ b/tests/proxy/test_membership.py
@@ -11,7 +11,7 @@
 from siskindale.models.members import MemberFact, MemberState
 from siskindale.proxy.decisions import membership
 from siskindale.proxy.decisions.membership import MemberTable
-from siskindale.proxy.members import NEWS_PER_DATAGRAM
+from siskindale.proxy.members import FACTS_PER_DATAGRAM
 
 
 def build_fact(number: int, **fields: object) -> MemberFact:
@@ -22,7 +22,7 @@
 
 @attrs.define
 class Fleet:
-    """Tables of a fleet that pass news on in rounds, as VMs do each `NEWS_DELAY_S`."""
+    """Tables of a fleet that pass updates on in rounds, as VMs do each `GOSSIP_DELAY_S`."""
 
     random: Random
     tables: dict[str, MemberTable] = attrs.field(factory=dict)
@@ -37,17 +37,17 @@
                 table.merge(facts, self.now)
         if knows_all:
             for table in self.tables.values():
-                while table.take_news(count):
+                while table.take_updates(count):
                     pass
 
     def round(self) -> None:
         for table in list(self.tables.values()):
-            news = table.take_news(NEWS_PER_DATAGRAM)
-            receivers = table.news_receivers() if news else []
+            updates = table.take_updates(FACTS_PER_DATAGRAM)
+            receivers = table.gossip_receivers() if updates else []
             for receiver in receivers:
                 self.messages += 1
                 if receiver.vm in self.tables:
-                    self.tables[receiver.vm].merge(news, self.now)
+                    self.tables[receiver.vm].merge(updates, self.now)
 
     def share_that_knows(self, vm: str, state: MemberState) -> float:
         known = [table.fact(vm) for table in self.tables.values() if table.own.vm != vm]
@@ -69,11 +69,11 @@
         fleet.round()
         rounds += 1
         assert rounds <= 20
-    assert fleet.messages / size < 2 * membership.NEWS_FANOUT * membership.transmissions(size)
+    assert fleet.messages / size < 2 * membership.GOSSIP_FANOUT * membership.transmissions(size)
 
 
 def test_messages_of_a_vm_grow_with_the_logarithm_of_the_fleet() -> None:
-    """Guards against news whose cost a VM grows with the fleet."""
+    """Guards against gossip whose cost a VM grows with the fleet."""
     assert membership.transmissions(1000) <= 2 * membership.transmissions(64)
 
 
