--- a/tests/proxy/test_deployment.py
+++ b/tests/proxy/test_deployment.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import gevent
+import pytest
 
 from bench.processes import Processes
 from siskindale.exits import ExitStatus
@@ -158,9 +159,11 @@
     assert proxy.client().query("READ item").error is None
 
 
-def test_the_example_settings_have_no_findings(processes: Processes) -> None:
+@pytest.mark.parametrize(
+    "path", ["docs/examples/proxy.json", "docs/examples/hlanganani/proxy.json"]
+)
+def test_the_example_settings_have_no_findings(processes: Processes, path: str) -> None:
     """Guards against an example with which no proxy starts."""
-    path = "docs/examples/proxy.json"
     process = processes.start("example", "siskindale.proxy", ["check-settings", path])
     assert process.popen.wait(WAIT_TIMEOUT_S) == ExitStatus.SUCCESS
 
