--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -23,7 +23,6 @@
 from siskindale.models.messages import Body
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy.decisions.connections import is_starved
-from siskindale.proxy.decisions.ownership import FULL_OWNERSHIP_VMS
 from siskindale.proxy.members import Membership
 from siskindale.proxy.ownership import Ownership
 from siskindale.proxy.state import ProxyState
@@ -256,12 +255,10 @@
 
     def _co_owner_urls(self) -> set[str]:
         """Returns the inboxes of all VMs that own connections of the same groups as this one."""
-        groups = list(self._state.groups.values())
+        groups = self._state.groups.values()
         table = self._membership.table
-        if not groups or any(self._ownership.owns_everything(group) for group in groups):
+        if any(self._ownership.owns_everything(group) for group in groups):
             members = table.others()
-            if len(members) >= FULL_OWNERSHIP_VMS:
-                return set()
         else:
             owned = [group for group in groups if self._ownership.owns(group)]
             members = [m for group in owned for m in self._ownership.owners(group)]
