Settle without the directory once no more VMs turn up

Change: retries start at 50 ms, and a VM that knows others settles after 0.3 s without a change. Not measured in this commit.

--- a/siskindale/proxy/directory.py
+++ b/siskindale/proxy/directory.py
@@ -15,9 +15,14 @@
 from siskindale.store.interface import WatchedTables, Write
 
 DIRECTORY_TABLE = "members"
-RETRY_S = 0.5
+# The first retries come soon, because clients wait for a VM that starts while the store returns.
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 0.5
 # Without the directory, VMs that start together know each other after a few exchanges.
 SETTLE_TIMEOUT_S = 1.5
+# Nobody who is still unknown after this time without a change is expected to be found sooner.
+QUIET_S = 0.3
+SETTLE_CHECK_INTERVAL_S = 0.05
 
 
 class Directory:
@@ -39,10 +44,19 @@
 
     def run(self) -> None:
         """Reads the directory and lists this VM; repeats that until the store has answered."""
-        timer = gevent.spawn_later(SETTLE_TIMEOUT_S, self._settled.set)
+        gevent.spawn(self._settle_without_directory)
+        retry_s = RETRY_MIN_S
         while not self._join():
-            gevent.sleep(RETRY_S)
-        timer.join()
+            gevent.sleep(retry_s)
+            retry_s = min(RETRY_MAX_S, 2 * retry_s)
+
+    def _settle_without_directory(self) -> None:
+        """Settles once other VMs are known and no more turn up, or after a limit."""
+        for _ in range(int(SETTLE_TIMEOUT_S / SETTLE_CHECK_INTERVAL_S)):
+            gevent.sleep(SETTLE_CHECK_INTERVAL_S)
+            if self._settled.is_set() or self._membership.quiet_for(QUIET_S):
+                break
+        self._settled.set()
 
     def _join(self) -> bool:
         found = self._tables.snapshot(DIRECTORY_TABLE)
--- a/siskindale/proxy/members.py
+++ b/siskindale/proxy/members.py
@@ -113,6 +113,11 @@
         """Applies facts from another source, such as the store."""
         self._merge(facts)
 
+    def quiet_for(self, duration_s: float) -> bool:
+        """Returns whether other VMs are known and nothing has changed for a while."""
+        quiet = self._clock.monotonic() - self._changed_at >= duration_s
+        return quiet and bool(self._table.others())
+
     def drain(self) -> None:
         """Tells the fleet that this VM takes no new work any more."""
         self._table.drain(self._clock.monotonic())
--- a/tests/proxy/test_members.py
+++ b/tests/proxy/test_members.py
@@ -10,6 +10,7 @@
 from siskindale.context import SystemClock
 from siskindale.models.address import Address
 from siskindale.models.members import MemberState
+from siskindale.proxy import directory
 from siskindale.proxy.members import Membership
 from tests.proxy.settings import build_settings
 
@@ -88,3 +89,26 @@
     second = start("vm1", addresses[1], addresses[0])
     wait_until(lambda: knows(first, "vm1", MemberState.ALIVE), TIMEOUT_S, "the VM is known")
     assert knows(second, "vm0", MemberState.ALIVE)
+
+
+def test_vms_that_start_without_the_store_settle_soon(start: Start) -> None:
+    """Guards against clients that wait for the directory while the store is down.
+
+    Seen on alpenrand-kurse trouble-2: all VMs lost power while the store was silent, and their clients
+    waited 0.2 to 0.5 s longer than for the catalog.
+    """
+    addresses = free_addresses(3)
+    fleet = [start(f"vm{i}", address, addresses[0]) for i, address in enumerate(addresses)]
+    wait_until(
+        lambda: all(member.quiet_for(directory.QUIET_S) for member in fleet),
+        directory.SETTLE_TIMEOUT_S,
+        "all VMs are settled",
+    )
+    assert all(len(member.table.members()) == 3 for member in fleet)
+
+
+def test_a_vm_alone_does_not_settle_by_silence(start: Start) -> None:
+    """Guards against a VM that takes itself for the whole fleet before it has met anybody."""
+    alone = start("vm0", free_addresses(1)[0])
+    gevent.sleep(2 * directory.QUIET_S)
+    assert not alone.quiet_for(directory.QUIET_S)
