--- a/tests/proxy/test_members.py
+++ b/tests/proxy/test_members.py
@@ -94,8 +94,8 @@
 def test_vms_that_start_without_the_store_settle_soon(start: Start) -> None:
     """Guards against clients that wait for the directory while the store is down.
 
-    Seen on alpenrand-kurse trouble-2: all VMs lost power while the store was silent, and their clients
-    waited 0.2 to 0.5 s longer than for the catalog.
+    Seen on alpenrand-kurse trouble-2: all VMs lost power while the store was silent, and their
+    clients waited 0.2 to 0.5 s longer than for the catalog.
     """
     addresses = free_addresses(3)
     fleet = [start(f"vm{i}", address, addresses[0]) for i, address in enumerate(addresses)]
