Log restorations of the store and registrations that are ignored as outdated

The log could not tell an ignored table of registrations from an unchanged one, nor whether an answer of the store belongs to another history than the one before. The adapter reads the header Store-Era; `store-restored` and `registrations-outdated` say so, with metrics, and `store-available` names the version from which a table is followed. No decision was changed.

--- a/siskindale/platform/store.py
+++ b/siskindale/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -27,6 +27,8 @@
 # Added to the time for which a watch may wait.
 WATCH_TIMEOUT_MARGIN_S = 0.6
 PAGE_ROWS = 500
+# Rises by one each time the store is restored from an older copy.
+ERA_HEADER = "store-era"
 
 _FAILURE_BY_STATUS = {
     404: PlatformFailure.UNAVAILABLE,
@@ -45,6 +47,12 @@
         self._client = HttpClient(
             address, headers, TrafficPurpose.PLATFORM, connect_timeout_s=CONNECT_TIMEOUT_S
         )
+        self._era: int | None = None
+        self._restoration_listeners: list[Callable[[int], None]] = []
+
+    def on_restored(self, listener: Callable[[int], None]) -> None:
+        """Calls `listener` with the new era when the store was restored from an older copy."""
+        self._restoration_listeners.append(listener)
 
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Returns the current row, None if it does not exist."""
@@ -110,11 +118,18 @@
             kind = PlatformFailure.UNKNOWN if failure.maybe_sent else PlatformFailure.UNAVAILABLE
             return Failure(PlatformError(kind, failure.detail))
         response = result.unwrap()
+        self._note_era(_decode_era(response))
         if response.status == 200:
             return _decode_body(response)
         kind = _FAILURE_BY_STATUS.get(response.status, PlatformFailure.UNKNOWN)
         return Failure(PlatformError(kind, f"{path.partition('?')[0]}: status {response.status}"))
 
+    def _note_era(self, era: int) -> None:
+        known, self._era = self._era, max(self._era or 0, era)
+        if known is not None and era > known:
+            for listener in self._restoration_listeners:
+                listener(era)
+
 
 def _encode_key(table: str, key: str) -> dict[str, str]:
     return {"table": table, "part": "", "key": key}
@@ -124,6 +139,11 @@
     return base64.b64encode(json.dumps(value).encode()).decode()
 
 
+def _decode_era(response: HttpResponse) -> int:
+    text = response.headers.get(ERA_HEADER, "")
+    return int(text) if text.isdecimal() else 0
+
+
 def _decode_body(response: HttpResponse) -> Result[dict[str, Any], PlatformError]:
     try:
         body = json.loads(response.body)
--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -71,7 +71,7 @@
             self._available = succeeded
             reason = "" if succeeded else answer.failure().detail
             event = "store-available" if succeeded else "store-unavailable"
-            logger().info(event, table=self._table, reason=reason)
+            logger().info(event, table=self._table, version=self._version, reason=reason)
 
 
 def catalog_wait(settings: ProxySettings) -> float:
--- a/siskindale/proxy/metrics.py
+++ b/siskindale/proxy/metrics.py
@@ -22,6 +22,12 @@
 )
 PROMOTIONS = Metric("siskindale_promotions", "Calls that order a promotion", ("outcome",))
 STORE_CALLS = Metric("siskindale_store_calls", "Calls to the store", ("call", "outcome"))
+STORE_RESTORATIONS = Metric(
+    "siskindale_store_restorations", "Restorations of the store from an older copy"
+).labels()
+REGISTRATIONS_OUTDATED = Metric(
+    "siskindale_registrations_outdated", "Tables of registrations older than the known one"
+).labels()
 MEMBERS = Metric(
     "siskindale_members", "Members of the fleet that are not gone", gauge=True
 ).labels()
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -21,6 +21,7 @@
 from siskindale.models.address import Address
 from siskindale.models.vm import RELOADABLE, ProxySettings, changed_fields
 from siskindale.platform.store import PlatformStore
+from siskindale.proxy import metrics
 from siskindale.proxy.directory import Directory
 from siskindale.proxy.duty import Duties, DutyKeeper
 from siskindale.proxy.failover import Failover
@@ -85,6 +86,7 @@
             self._pool.yield_connections,
         )
         store = PlatformStore(settings.store)
+        store.on_restored(_note_restored)
         self._directory = Directory(store, self._membership)
         duties = Duties(settings, store, ownership)
         self._duty = DutyKeeper(settings, self._state, self._peers, ownership, duties)
@@ -219,6 +221,11 @@
         self._membership.reload(settings)
 
 
+def _note_restored(era: int) -> None:
+    metrics.STORE_RESTORATIONS.inc()
+    logger().warning("store-restored", era=era)
+
+
 def run(
     settings: ProxySettings, env: Environment, load: SettingsLoader, listener: socket.socket | None
 ) -> ExitStatus:
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -10,6 +10,7 @@
 from siskindale.models.catalog import Catalog, RegistrationState, Route, TargetRegistration
 from siskindale.models.vm import ProxySettings
 from siskindale.platform.entries import decode_catalog, decode_target
+from siskindale.proxy import metrics
 from siskindale.proxy.decisions import leadership
 from siskindale.proxy.decisions.registration import is_newer
 from siskindale.proxy.pool import ConnectionPool
@@ -122,6 +123,13 @@
     ) -> None:
         """Applies changed registrations; None means that a registration is gone."""
         if version < self._targets_version:
+            metrics.REGISTRATIONS_OUTDATED.inc()
+            logger().warning(
+                "registrations-outdated",
+                source=source,
+                version=version,
+                known_version=self._targets_version,
+            )
             return
         self._targets_version = version
         self._targets_known = True
--- a/siskindale/store/interface.py
+++ b/siskindale/store/interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any, Protocol
 
 import attrs
@@ -102,6 +102,10 @@
 class WatchedTables(Protocol):
     """Transactional tables that can be watched for changes."""
 
+    def on_restored(self, listener: Callable[[int], None]) -> None:
+        """Calls `listener` with the new era when the store was restored from an older copy."""
+        ...
+
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Returns the current row, None if it is absent."""
         ...
