--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -69,6 +69,7 @@
 
     def __init__(self, address: Address, promote: Callable[[str, str], bool]) -> None:
         self._tables = Tables()
+        self._era = 1
         self._changed = Event()
         self._promote = promote
         self._fencing_tokens: dict[str, int] = {}
@@ -89,6 +90,15 @@
         """Returns a row, or None if it does not exist."""
         return self._tables.read(table, key)
 
+    def backup(self) -> Tables:
+        """Returns a copy of the store's tables."""
+        return self._tables.copy()
+
+    def restore(self, backup: Tables) -> None:
+        """Replaces the store's tables by an older copy, which begins a new era."""
+        self._tables.restore(backup)
+        self._era += 1
+
     def _notify_watchers(self) -> None:
         self._changed.set()
         self._changed.clear()
@@ -101,7 +111,8 @@
         if self.faults.unresponsive or self.faults.outages != outages:
             gevent.sleep(HANG_S)
         data = json.dumps(response).encode()
-        start_response(STATUS_LINES[status], [("Content-Length", str(len(data)))])
+        headers = [("Content-Length", str(len(data))), ("Store-Era", str(self._era))]
+        start_response(STATUS_LINES[status], headers)
         return [data]
 
     def _handle_request(
@@ -134,6 +145,8 @@
         if self.faults.history_lost:
             return 410, {}
         after = int(query["after"])
+        if after > self._tables.version:
+            return 410, {}
         with gevent.Timeout(int(query["wait_ms"]) / 1000, False):
             while not self._tables.scan(query["table"], after):
                 self._changed.wait()
--- a/standins/platform/services.py
+++ b/standins/platform/services.py
@@ -20,6 +20,17 @@
         """Version of the latest commit."""
         return self._version
 
+    def copy(self) -> "Tables":
+        """Returns a copy of the current state, for `restore`."""
+        copied = Tables()
+        copied.restore(self)
+        return copied
+
+    def restore(self, backup: "Tables") -> None:
+        """Replaces the state by an older one; later versions are given out again."""
+        self._rows = dict(backup._rows)
+        self._version = backup._version
+
     def read(self, table: str, key: str) -> Row | None:
         """Returns a row, or None if it is absent or deleted."""
         row = self._rows.get((table, key))
