Keep versions in order when the store is restored from an older copy

Cause: versions of the store were compared as if they came from one history. After a restoration they go back and are given out again. A watch that went on from version 21 of the lost history was told nothing of what the new one had written up to 21 (store-available table=op version=21, then no catalog-adopted), and registrations read at version 19 were ignored because 49 was known (registrations-outdated). The fencing token of the failover duty, also such a version, went from 39 back to 23.

The era of the answer (Store-Era) is now the most significant part of each version, which the adapter adds and takes away. So all comparisons hold without knowing of eras: of registrations, of what peers tell, of tokens. A watch and a condition from an earlier era fail as lost history and as conflict, and an answer of an ended era is not used.

Two tests compared tokens with the stand-in's bare versions and now add the era; the bound on a refused token got a lower limit, so that it cannot hold for want of calls.

--- a/siskindale/platform/store.py
+++ b/siskindale/platform/store.py
@@ -6,6 +6,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import attrs
 from returns.result import Failure, Result, Success
 
 from siskindale.models.address import Address
@@ -17,6 +18,7 @@
     Row,
     Write,
 )
+from siskindale.store.versions import NO_VERSION, commit_of, era_of, version_in_era
 from siskindale.transport.http import HttpClient, HttpResponse
 from siskindale.transport.metrics import TrafficPurpose
 
@@ -39,8 +41,19 @@
 }
 
 
+@attrs.frozen
+class _StoreResponse:
+    """Body of a successful response, and the era in which the store gave it."""
+
+    body: dict[str, Any]
+    era: int
+
+
 class PlatformStore:
-    """Rows of the platform's store; values are JSON objects."""
+    """Rows of the platform's store; values are JSON objects.
+
+    Versions include the era of the store, so that they keep their order across restorations.
+    """
 
     def __init__(self, address: Address) -> None:
         headers = {"Content-Type": "application/json"}
@@ -65,33 +78,44 @@
         """Returns all rows of a table as of one version."""
         query: dict[str, Any] = {"table": table, "part": "", "limit": PAGE_ROWS}
         rows: list[Row] = []
-        version = 0
+        version = NO_VERSION
         while True:
-            response_body = self._call(
-                "GET", f"/v1/rows-get?{urlencode(query)}", b"", CALL_TIMEOUT_S
-            )
-            page = response_body.bind(lambda body: _decode_changes(table, body))
-            if isinstance(page, Failure):
-                return page
-            rows += page.unwrap().rows
+            called = self._call("GET", f"/v1/rows-get?{urlencode(query)}", b"", CALL_TIMEOUT_S)
+            decoded = called.bind(lambda response: _decode_changes(table, response))
+            if isinstance(decoded, Failure):
+                return decoded
+            page = decoded.unwrap()
+            if version and era_of(version) != era_of(page.version):
+                return Failure(_history_lost("the store was restored between two pages"))
+            rows += page.rows
             # A watch from the version of the first page returns what changed between two pages.
-            version = version or page.unwrap().version
-            if not response_body.unwrap().get("has_more") or not page.unwrap().rows:
+            version = version or page.version
+            if not called.unwrap().body.get("has_more") or not page.rows:
                 return Success(Changes(tuple(rows), version))
             query["from"] = rows[-1].key + "\x00"
 
     def watch(self, table: str, after: int, wait_s: float) -> Result[Changes, PlatformError]:
         """Waits up to `wait_s` for changes; `HISTORY_LOST` calls for a new snapshot."""
-        query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
-        return self._get("/v1/rows-feed", query, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        if self._is_of_earlier_era(after):
+            return Failure(_history_lost("the store was restored"))
+        query = {"table": table, "after": commit_of(after), "wait_ms": int(wait_s * 1000)}
+        found = self._get("/v1/rows-feed", query, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        # Commits of the new era up to `after` are missing in the response.
+        if isinstance(found, Success) and self._is_of_earlier_era(after):
+            return Failure(_history_lost("the store was restored"))
+        return found
 
     def commit(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> Result[int, PlatformError]:
         """Applies all writes in one transaction if all conditions hold; returns the new version."""
+        if any(self._is_of_earlier_era(row.version) for row in conditions):
+            # The store may have given out the number of the commit a second time.
+            return Failure(PlatformError(PlatformFailure.CONFLICT, "the store was restored"))
         body = {
             "expected": [
-                {**_encode_key(row.table, row.key), "ver": row.version} for row in conditions
+                {**_encode_key(row.table, row.key), "ver": commit_of(row.version)}
+                for row in conditions
             ],
             "put_rows": [
                 {**_encode_key(row.table, row.key), "value": _encode_value(row.value)}
@@ -100,30 +124,37 @@
             ],
             "remove": [_encode_key(row.table, row.key) for row in writes if row.value is None],
         }
-        response_body = self._call("POST", "/v1/rows-tx", json.dumps(body).encode(), CALL_TIMEOUT_S)
-        return response_body.bind(_decode_version)
+        response = self._call("POST", "/v1/rows-tx", json.dumps(body).encode(), CALL_TIMEOUT_S)
+        return response.bind(_decode_version)
 
     def _get(
         self, path: str, query: dict[str, Any], timeout_s: float
     ) -> Result[Changes, PlatformError]:
-        response_body = self._call("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
-        return response_body.bind(lambda body: _decode_changes(str(query["table"]), body))
+        called = self._call("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
+        return called.bind(lambda response: _decode_changes(str(query["table"]), response))
 
     def _call(
         self, method: str, path: str, body: bytes, timeout_s: float
-    ) -> Result[dict[str, Any], PlatformError]:
+    ) -> Result[_StoreResponse, PlatformError]:
         result = self._client.request(method, path, body, timeout_s)
         if isinstance(result, Failure):
             failure = result.failure()
             kind = PlatformFailure.UNKNOWN if failure.maybe_sent else PlatformFailure.UNAVAILABLE
             return Failure(PlatformError(kind, failure.detail))
         response = result.unwrap()
-        self._note_era(_decode_era(response))
+        era = _decode_era(response, self._era or 0)
+        self._note_era(era)
+        if era < (self._era or 0):
+            detail = f"response of era {era}, which has ended"
+            return Failure(PlatformError(PlatformFailure.UNKNOWN, detail))
         if response.status == 200:
-            return _decode_body(response)
+            return _decode_body(response).map(lambda body: _StoreResponse(body, era))
         kind = _FAILURE_BY_STATUS.get(response.status, PlatformFailure.UNKNOWN)
         return Failure(PlatformError(kind, f"{path.partition('?')[0]}: status {response.status}"))
 
+    def _is_of_earlier_era(self, version: int) -> bool:
+        return version != NO_VERSION and era_of(version) < (self._era or 0)
+
     def _note_era(self, era: int) -> None:
         known, self._era = self._era, max(self._era or 0, era)
         if known is not None and era > known:
@@ -139,9 +170,9 @@
     return base64.b64encode(json.dumps(value).encode()).decode()
 
 
-def _decode_era(response: HttpResponse) -> int:
+def _decode_era(response: HttpResponse, known: int) -> int:
     text = response.headers.get(ERA_HEADER, "")
-    return int(text) if text.isdecimal() else 0
+    return int(text) if text.isdecimal() else known
 
 
 def _decode_body(response: HttpResponse) -> Result[dict[str, Any], PlatformError]:
@@ -154,22 +185,27 @@
     return Success(body)
 
 
-def _decode_version(body: dict[str, Any]) -> Result[int, PlatformError]:
-    version = body.get("ver")
-    if type(version) is int:
-        return Success(version)
+def _history_lost(detail: str) -> PlatformError:
+    return PlatformError(PlatformFailure.HISTORY_LOST, detail)
+
+
+def _decode_version(response: _StoreResponse) -> Result[int, PlatformError]:
+    commit = response.body.get("ver")
+    if type(commit) is int:
+        return Success(version_in_era(response.era, commit))
     return Failure(PlatformError(PlatformFailure.UNKNOWN, "response has no version"))
 
 
-def _decode_changes(table: str, body: dict[str, Any]) -> Result[Changes, PlatformError]:
-    rows = [_decode_row(table, row) for row in body.get("rows") or ()]
-    return _decode_version(body).map(lambda version: Changes(tuple(rows), version))
+def _decode_changes(table: str, response: _StoreResponse) -> Result[Changes, PlatformError]:
+    rows = [_decode_row(table, response.era, row) for row in response.body.get("rows") or ()]
+    return _decode_version(response).map(lambda version: Changes(tuple(rows), version))
 
 
-def _decode_row(table: str, raw: dict[str, Any]) -> Row:
+def _decode_row(table: str, era: int, raw: dict[str, Any]) -> Row:
     deleted = bool(raw.get("deleted"))
     value = {} if deleted else _decode_value(raw.get("value"))
-    return Row(table, str(raw.get("key")), int(raw.get("ver") or 0), value, deleted)
+    version = version_in_era(era, int(raw.get("ver") or 0))
+    return Row(table, str(raw.get("key")), version, value, deleted)
 
 
 def _decode_value(encoded: Any) -> dict[str, Any]:
--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -11,6 +11,7 @@
 from siskindale.proxy.state import ProxyState
 from siskindale.runtime.logs import logger
 from siskindale.store.interface import Changes, PlatformError, PlatformFailure, WatchedTables
+from siskindale.store.versions import NO_VERSION
 
 # A watch that hangs after an outage without any answer must end, and the next one must succeed,
 # this long before a configuration has to be in effect. Longer waits cost fewer calls.
@@ -38,7 +39,7 @@
         self._tables = tables
         self._table = table
         self._wait_s = wait_s
-        self._version = 0
+        self._version = NO_VERSION
         self._available: bool | None = None
 
     @property
@@ -48,30 +49,38 @@
 
     def next_changes(self) -> Result[tuple[Changes, bool], PlatformError]:
         """Returns changes, and whether they are a snapshot of the complete table."""
-        snapshot = self._version == 0
-        answer = (
-            self._tables.snapshot(self._table)
-            if snapshot
-            else self._tables.watch(self._table, self._version, self._wait_s)
-        )
-        self._record_outcome(answer)
-        if isinstance(answer, Failure):
-            if answer.failure().kind is PlatformFailure.HISTORY_LOST:
-                self._version = 0
-            return answer
-        changes = answer.unwrap()
-        self._version = changes.version
-        return Success((changes, snapshot))
-
-    def _record_outcome(self, answer: Result[Changes, PlatformError]) -> None:
+        if self._version != NO_VERSION:
+            # After an outage, the store is asked at once whether it still has the same history.
+            wait_s = self._wait_s if self.available else 0.0
+            watched = self._tables.watch(self._table, self._version, wait_s)
+            if not _lost_history(watched):
+                return self._finish(watched).map(lambda changes: (changes, False))
+            self._count(watched)
+            logger().info("history-lost", table=self._table, version=self._version)
+            self._version = NO_VERSION
+        found = self._tables.snapshot(self._table)
+        return self._finish(found).map(lambda changes: (changes, True))
+
+    def _finish(self, answer: Result[Changes, PlatformError]) -> Result[Changes, PlatformError]:
+        self._count(answer)
         succeeded = isinstance(answer, Success)
-        outcome = "done" if succeeded else answer.failure().kind.value
-        metrics.STORE_CALLS.labels(self._table, outcome).inc()
+        if isinstance(answer, Success):
+            self._version = answer.unwrap().version
         if succeeded != self._available:
             self._available = succeeded
             reason = "" if succeeded else answer.failure().detail
             event = "store-available" if succeeded else "store-unavailable"
             logger().info(event, table=self._table, version=self._version, reason=reason)
+        return answer
+
+    def _count(self, answer: Result[Changes, PlatformError]) -> None:
+        outcome = "done" if isinstance(answer, Success) else answer.failure().kind.value
+        metrics.STORE_CALLS.labels(self._table, outcome).inc()
+
+
+def _lost_history(answer: Result[Changes, PlatformError]) -> bool:
+    lost = PlatformFailure.HISTORY_LOST
+    return isinstance(answer, Failure) and answer.failure().kind is lost
 
 
 def catalog_wait(settings: ProxySettings) -> float:
--- a/siskindale/store/interface.py
+++ b/siskindale/store/interface.py
@@ -38,7 +38,11 @@
 
 @attrs.frozen
 class Row:
-    """Row of the table service; `version` increases with each commit to any row."""
+    """Row of the table service; `version` increases with each commit to any row.
+
+    With a driver that knows the service's era, it also increases when the service is restored from
+    an older copy (`siskindale.store.versions`).
+    """
 
     table: str
     key: str
--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -69,7 +69,7 @@
 
     def __init__(self, address: Address, promote: Callable[[str, str], bool]) -> None:
         self._tables = Tables()
-        self._era = 1
+        self.era = 1
         self._changed = Event()
         self._promote = promote
         self._fencing_tokens: dict[str, int] = {}
@@ -97,7 +97,7 @@
     def restore(self, backup: Tables) -> None:
         """Replaces the store's tables by an older copy, which begins a new era."""
         self._tables.restore(backup)
-        self._era += 1
+        self.era += 1
 
     def _notify_watchers(self) -> None:
         self._changed.set()
@@ -111,7 +111,7 @@
         if self.faults.unresponsive or self.faults.outages != outages:
             gevent.sleep(HANG_S)
         data = json.dumps(response).encode()
-        headers = [("Content-Length", str(len(data))), ("Store-Era", str(self._era))]
+        headers = [("Content-Length", str(len(data))), ("Store-Era", str(self.era))]
         start_response(STATUS_LINES[status], headers)
         return [data]
 
--- a/tests/proxy/test_duty.py
+++ b/tests/proxy/test_duty.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from siskindale.store.versions import version_in_era
 from tests.proxy.deployment import GROUP, Deployment, Proxy, eventually
 
 
@@ -76,8 +77,9 @@
         deployment.platform.put("other", f"row{number}", {})
     row = deployment.platform.row("duties", "failover")
     assert row is not None
-    deployment.platform.use_fencing_token(GROUP, row.version + 10)
+    first_token = version_in_era(deployment.platform.era, row.version)
+    deployment.platform.use_fencing_token(GROUP, first_token + 10)
     deployment.group.primary.crash()
     eventually(lambda: client.query("WRITE item 2").error is None, "a successor leads")
     tokens = [call.fencing_token for call in deployment.platform.promotions]
-    assert tokens.count(row.version) <= 3
+    assert 1 <= tokens.count(first_token) <= 3
--- a/tests/proxy/test_store_faults.py
+++ b/tests/proxy/test_store_faults.py
@@ -1,5 +1,6 @@
 """A store that is slow, limits the rate of calls, or loses responses."""
 
+from siskindale.store.versions import version_in_era
 from tests.proxy.deployment import Deployment, eventually
 
 
@@ -38,4 +39,5 @@
     eventually(lambda: client.query("WRITE item 2").error is None, "another target is the primary")
     row = deployment.platform.row("duties", "failover")
     assert row is not None
-    assert {call.fencing_token for call in deployment.platform.promotions} == {row.version}
+    token = version_in_era(deployment.platform.era, row.version)
+    assert {call.fencing_token for call in deployment.platform.promotions} == {token}
