Take the failover duty again after a restoration, and hold it only by the own last write

The store came back without the row of the duty, or with an earlier holder's, and nobody wrote it again: its holder acted on, VMs that started found the duty vacant, and an earlier holder that read the row took itself for the holder, as the row named its boot id. A take that failed with a conflict counted as done for the same reason (duty-taken failure=conflict in the test).

Cause: rows that siskindale itself writes were taken to last once acknowledged, and the holder was known by its boot id, which an older copy may show again. Now each take has a number in its row and a VM holds the duty only at the version of its own last take. A restoration makes every VM read the row before it uses it, and the holder take it at once; until then its token is still the newest.

--- a/siskindale/proxy/duty.py
+++ b/siskindale/proxy/duty.py
@@ -1,10 +1,11 @@
 """The failover duty: a lock with a fencing token, whose holder may order promotions."""
 
+import itertools
 import os
 from collections.abc import Iterable
 
 import gevent
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
 from siskindale.membership.rendezvous import rendezvous_score
 from siskindale.models.vm import ProxySettings
@@ -14,7 +15,15 @@
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group
 from siskindale.runtime.logs import logger
-from siskindale.store.interface import Condition, PlatformFailure, WatchedTables, Write
+from siskindale.store.interface import (
+    Condition,
+    PlatformError,
+    PlatformFailure,
+    Row,
+    WatchedTables,
+    Write,
+)
+from siskindale.store.versions import NO_VERSION
 
 DUTY_TABLE = "duties"
 DUTY_KEY = "failover"
@@ -32,11 +41,13 @@
         self._vm = settings.vm
         self._key = key
         self._boot = os.urandom(16).hex()
+        self._takes = itertools.count(1)
         self._tables = tables
         self._holder = ""
-        self._holder_boot = ""
-        self._version = 0
+        self._version = NO_VERSION
+        self._own_version = NO_VERSION
         self._known = False
+        self._held_before_restoration = False
 
     @property
     def key(self) -> str:
@@ -50,67 +61,90 @@
 
     @property
     def known(self) -> bool:
-        """Whether the row has been read since the start."""
+        """Whether the row has been read since the start and since the store was restored."""
         return self._known
 
     @property
     def token(self) -> int | None:
         """Fencing token of this VM, None while it does not hold the duty."""
-        return self._version if self._holder_boot == self._boot else None
+        held = self._own_version != NO_VERSION and self._own_version == self._version
+        return self._version if held else None
+
+    @property
+    def held_before_restoration(self) -> bool:
+        """Whether the store was restored while this VM held the duty, which it has to take again.
+
+        Until it has read the row again, it may use its token: no newer one may be in use.
+        """
+        return self._held_before_restoration
 
     def adopt_holder(self, holder: str, token: int) -> None:
         """Records that a peer holds the duty, if its token is newer than the known one."""
         if token > self._version:
-            self._version = token
-            self._holder, self._holder_boot = holder, ""
+            self._version, self._holder = token, holder
+
+    def note_restored(self) -> None:
+        """Records that the store was restored, so that its row may be missing or an older one."""
+        self._known = False
+        self._held_before_restoration = self.token is not None
 
     def refresh(self) -> bool:
         """Reads the row; returns whether the store answered."""
-        found = self._tables.read(DUTY_TABLE, self._key)
-        self._count("read", found)
-        if isinstance(found, Failure):
-            logger().warning("duty-read-failed", reason=found.failure().detail)
-            return False
-        row = found.unwrap()
-        self._known = True
-        self._version = row.version if row else 0
-        self._holder = str(row.value.get("holder", "")) if row else ""
-        self._holder_boot = str(row.value.get("boot", "")) if row else ""
-        return True
+        return isinstance(self._read_row(), Success)
 
     def take(self, reason: str) -> bool:
         """Takes the duty with a new token, unless the row has changed since it was read."""
         if not self._known and not self.refresh():
             return False
-        value = {"holder": self._vm, "boot": self._boot}
+        value = {"holder": self._vm, "boot": self._boot, "take": next(self._takes)}
         committed = self._tables.commit(
             [Condition(DUTY_TABLE, self._key, self._version)],
             [Write(DUTY_TABLE, self._key, value)],
         )
         self._count("commit", committed)
+        self._held_before_restoration = False
         if isinstance(committed, Failure):
-            return self._resolve_failed_take(committed.failure().kind, reason)
-        self._version = committed.unwrap()
-        self._holder, self._holder_boot = self._vm, self._boot
-        logger().info("duty-taken", fencing_token=self._version, reason=reason)
+            return self._resolve_failed_take(committed.failure().kind, value, reason)
+        self._note_taken(committed.unwrap(), reason)
         return True
 
-    def _resolve_failed_take(self, kind: PlatformFailure, reason: str) -> bool:
+    def _read_row(self) -> Result[Row | None, PlatformError]:
+        found = self._tables.read(DUTY_TABLE, self._key)
+        self._count("read", found)
+        if isinstance(found, Failure):
+            logger().warning("duty-read-failed", reason=found.failure().detail)
+            return found
+        row = found.unwrap()
+        self._known = True
+        self._version = row.version if row else NO_VERSION
+        self._holder = str(row.value.get("holder", "")) if row else ""
+        return found
+
+    def _note_taken(self, version: int, reason: str) -> None:
+        self._version = self._own_version = version
+        self._holder = self._vm
+        logger().info("duty-taken", key=self._key, fencing_token=version, reason=reason)
+
+    def _resolve_failed_take(
+        self, kind: PlatformFailure, value: dict[str, object], reason: str
+    ) -> bool:
         """Reads the row again after a failed attempt; returns whether this VM took the duty.
 
         A call without an answer may have been carried out.
         """
-        version_before = self._version
-        refreshed = self.refresh()
-        taken = refreshed and self.token is not None and self._version != version_before
+        row = self._read_row().value_or(None)
+        if row is not None and row.value == value:
+            self._note_taken(row.version, reason)
+            return True
         logger().info(
-            "duty-not-taken" if not taken else "duty-taken",
+            "duty-not-taken",
+            key=self._key,
             failure=kind.value,
             holder=self._holder,
             fencing_token=self._version,
             reason=reason,
         )
-        return taken
+        return False
 
     @staticmethod
     def _count(call: str, answer: object) -> None:
@@ -140,6 +174,11 @@
             self._duties[key] = FailoverDuty(self._settings, self._tables, key)
         return self._duties[key]
 
+    def note_restored(self) -> None:
+        """Records that the store was restored, so that each duty has to be read again."""
+        for duty in self._duties.values():
+            duty.note_restored()
+
     def held(self) -> list[FailoverDuty]:
         """Returns the duties that this VM holds."""
         return [duty for duty in self._duties.values() if duty.token is not None]
@@ -175,13 +214,26 @@
             gevent.sleep(CHECK_INTERVAL_S)
             if not self._state.ready:
                 continue
-            owned = [g for g in self._state.groups.values() if self._ownership.owns(g)]
-            for group in {self._duties.of(g).key: g for g in owned}.values():
+            for group in self._group_of_each_duty():
                 delay_s = CHECK_INTERVAL_S * self._rank(group) * RANK_INTERVAL_SHARE
                 gevent.spawn_later(delay_s, self._check, group)
 
+    def note_restored(self) -> None:
+        """Takes the held duties again, because the store may have lost their rows."""
+        self._duties.note_restored()
+        for group in self._group_of_each_duty():
+            if self._duties.of(group).held_before_restoration:
+                gevent.spawn(self._check, group)
+
+    def _group_of_each_duty(self) -> list[Group]:
+        owned = [g for g in self._state.groups.values() if self._ownership.owns(g)]
+        return list({self._duties.of(group).key: group for group in owned}.values())
+
     def _check(self, group: Group) -> None:
         duty = self._duties.of(group)
+        if duty.held_before_restoration:
+            duty.take("the store was restored")
+            return
         if not duty.known and not duty.refresh():
             return
         if duty.token is not None:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -87,6 +87,7 @@
         )
         store = PlatformStore(settings.store)
         store.on_restored(_note_restored)
+        store.on_restored(lambda _: self._duty.note_restored())
         self._directory = Directory(store, self._membership)
         duties = Duties(settings, store, ownership)
         self._duty = DutyKeeper(settings, self._state, self._peers, ownership, duties)
--- a/tests/proxy/test_duty.py
+++ b/tests/proxy/test_duty.py
@@ -1,12 +1,19 @@
 """Tests of the failover duty with two proxies."""
 
 import signal
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
 
+from bench.processes import free_addresses
+from siskindale.models.address import Address
+from siskindale.platform.store import PlatformStore
+from siskindale.proxy.duty import FailoverDuty
 from siskindale.store.versions import version_in_era
+from standins.deployment.store import PlatformStandin
 from tests.proxy.deployment import GROUP, Deployment, Proxy, eventually
+from tests.proxy.settings import build_settings
 
 
 @pytest.fixture
@@ -83,3 +90,56 @@
     eventually(lambda: client.query("WRITE item 2").error is None, "a successor leads")
     tokens = [call.fencing_token for call in deployment.platform.promotions]
     assert 1 <= tokens.count(first_token) <= 3
+
+
+@pytest.fixture
+def platform() -> Iterator[PlatformStandin]:
+    """A platform without targets."""
+    platform = PlatformStandin(free_addresses(1)[0], lambda _group, _target: True)
+    platform.server.start()
+    yield platform
+    platform.server.stop()
+
+
+def duty_of(platform: PlatformStandin, vm: str) -> FailoverDuty:
+    """Returns the duty as a VM of its own sees it."""
+    return FailoverDuty(build_settings(vm=vm), PlatformStore(Address(*platform.server.address)))
+
+
+def test_a_former_holder_does_not_hold_the_duty_of_an_older_copy(platform: PlatformStandin) -> None:
+    """Guards against two holders: the one before a restoration, and the one whom the copy names."""
+    former, holder = duty_of(platform, "vm1"), duty_of(platform, "vm2")
+    assert former.take("vacant")
+    backup = platform.backup()
+    assert holder.refresh()
+    assert holder.take("holder is gone")
+    token = holder.token
+    platform.restore(backup)
+    assert former.refresh()
+    assert former.holder == "vm1"
+    assert former.token is None
+    holder.note_restored()
+    assert holder.held_before_restoration
+    assert holder.take("the store was restored")
+    assert not former.take("held by an earlier start")
+    assert former.token is None
+    assert token is not None
+    assert holder.token is not None
+    assert holder.token > token
+
+
+def test_a_take_without_an_answer_is_not_taken_for_an_earlier_one(
+    platform: PlatformStandin,
+) -> None:
+    """Guards against a VM that believes in a lost take because the row names it since before."""
+    duty, other = duty_of(platform, "vm1"), duty_of(platform, "vm2")
+    assert duty.take("vacant")
+    backup = platform.backup()
+    assert other.refresh()
+    assert other.take("holder is gone")
+    assert duty.refresh()
+    platform.restore(backup)
+    assert not duty.take("holder is gone")
+    assert duty.token is None
+    assert duty.take("held by an earlier start")
+    assert duty.token is not None
