List a VM in the directory again after a restoration of the store

A VM wrote its row once, at its start. After a restoration the directory could lack it, and a fleet that started again as a whole would not have known it until it heard from it. The cause is the same as for the duty: rows that siskindale writes were taken to last. The VM now reads its own row after each restoration and writes it if it is missing or differs, at a random moment of two seconds, because the operator and the targets write to the same part of the store then.

--- a/siskindale/proxy/directory.py
+++ b/siskindale/proxy/directory.py
@@ -4,6 +4,8 @@
 nobody to ask. Whether a VM in it is alive is found out by probes.
 """
 
+from random import Random
+
 import gevent
 import msgspec
 from returns.result import Failure
@@ -23,14 +25,17 @@
 # Nobody who is still unknown after this time without a change is expected to be found sooner.
 QUIET_S = 0.3
 SETTLE_CHECK_INTERVAL_S = 0.05
+# The operator and the targets write again at the same time and come first.
+RELIST_SPREAD_S = 2.0
 
 
 class Directory:
     """Reads the directory once, and lists this VM in it."""
 
-    def __init__(self, tables: WatchedTables, membership: Membership) -> None:
+    def __init__(self, tables: WatchedTables, membership: Membership, random: Random) -> None:
         self._tables = tables
         self._membership = membership
+        self._random = random
         self._settled = gevent.event.Event()
 
     @property
@@ -58,6 +63,10 @@
                 break
         self._settled.set()
 
+    def note_restored(self) -> None:
+        """Lists this VM again, because the store may have lost its row."""
+        gevent.spawn_later(self._random.uniform(0, RELIST_SPREAD_S), self._list_again)
+
     def _join(self) -> bool:
         found = self._tables.snapshot(DIRECTORY_TABLE)
         self._count("read", found)
@@ -73,12 +82,34 @@
             # This VM was listed by an earlier run, so the others were listed, too.
             self._settled.set()
             return True
-        value = msgspec.to_builtins(self._membership.table.own)
-        written = self._tables.commit([], [Write(DIRECTORY_TABLE, own.vm, value)])
+        return self._write_own_row()
+
+    def _list_again(self) -> None:
+        while not self._ensure_listed():
+            gevent.sleep(RETRY_MAX_S)
+
+    def _ensure_listed(self) -> bool:
+        own = self._membership.table.own
+        found = self._tables.read(DIRECTORY_TABLE, own.vm)
+        self._count("read", found)
+        if isinstance(found, Failure):
+            logger().info("directory-unreadable", reason=found.failure().detail)
+            return False
+        row = found.unwrap()
+        listed = _decode(row.value) if row else None
+        return (listed is not None and _same_place(listed, own)) or self._write_own_row()
+
+    def _write_own_row(self) -> bool:
+        own = self._membership.table.own
+        written = self._tables.commit(
+            [], [Write(DIRECTORY_TABLE, own.vm, msgspec.to_builtins(own))]
+        )
         self._count("write", written)
         if isinstance(written, Failure):
             logger().info("directory-not-written", reason=written.failure().detail)
-        return not isinstance(written, Failure)
+            return False
+        logger().info("directory-written")
+        return True
 
     @staticmethod
     def _count(call: str, answer: object) -> None:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -86,9 +86,8 @@
             self._pool.yield_connections,
         )
         store = PlatformStore(settings.store)
-        store.on_restored(_note_restored)
-        store.on_restored(lambda _: self._duty.note_restored())
-        self._directory = Directory(store, self._membership)
+        store.on_restored(self._note_restored)
+        self._directory = Directory(store, self._membership, Random())
         duties = Duties(settings, store, ownership)
         self._duty = DutyKeeper(settings, self._state, self._peers, ownership, duties)
         self._catalog = CatalogFollower(settings, store, self._state, self._peers.announce_soon)
@@ -197,6 +196,13 @@
         ready = self._state.ready and self._directory.settled
         return ready and not self._stopping.is_set()
 
+    def _note_restored(self, era: int) -> None:
+        """Writes again what this VM keeps in the store; the operator and the targets do the same."""
+        metrics.STORE_RESTORATIONS.inc()
+        logger().warning("store-restored", era=era)
+        self._duty.note_restored()
+        self._directory.note_restored()
+
     def _vm_count(self, group: Group) -> int:
         return self._peers.vm_count(group)
 
@@ -222,11 +228,6 @@
         self._membership.reload(settings)
 
 
-def _note_restored(era: int) -> None:
-    metrics.STORE_RESTORATIONS.inc()
-    logger().warning("store-restored", era=era)
-
-
 def run(
     settings: ProxySettings, env: Environment, load: SettingsLoader, listener: socket.socket | None
 ) -> ExitStatus:
