--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -197,7 +197,7 @@
         return ready and not self._stopping.is_set()
 
     def _note_restored(self, era: int) -> None:
-        """Writes again what this VM keeps in the store; the operator and the targets do the same."""
+        """Writes again what this VM keeps in the store; other writers do the same."""
         metrics.STORE_RESTORATIONS.inc()
         logger().warning("store-restored", era=era)
         self._duty.note_restored()
