Keep versions in order across restorations in the own interface, too

Looked for elsewhere: the programs with the product's own interface compare versions of the table service in the same way. A directory that had read up to a version of the lost history missed members written after a restoration, a condition could hold by chance, and a VM whose row was lost did not write it again. The tracker of eras that the adapter uses moved to siskindale/store/versions.py, and the HTTP driver puts the era into versions, too; a scan from an ended era returns the whole table. The stand-in of the platform can be restored.

Not mended: reserved terms, which are counted in the value of a row and not by its version (docs/findings.md).

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -52,6 +52,14 @@
         """Changes the given faults of the platform."""
         return post_admin(self.admin, "/faults", values)
 
+    def back_up(self) -> None:
+        """Keeps a copy of the tables for `restore`."""
+        post_admin(self.admin, "/backup", {})
+
+    def restore(self) -> None:
+        """Replaces the tables by the copy, so that versions are given out again."""
+        post_admin(self.admin, "/restore", {})
+
     def set_live(self, live: Sequence[str], leaving: Sequence[str] = ()) -> None:
         """Replaces the live list."""
         post_admin(self.admin, "/live", {"live": list(live), "leaving": list(leaving)})
--- a/siskindale/membership/directory.py
+++ b/siskindale/membership/directory.py
@@ -8,6 +8,7 @@
 
 import attrs
 import gevent
+from gevent.pool import Group
 from returns.result import Success
 
 from siskindale.config.loader import structure
@@ -57,6 +58,7 @@
         self._live: frozenset[str] | None = None
         self._leaving: frozenset[str] = frozenset()
         self._listeners: list[Listener] = []
+        self._tasks = Group()
 
     @property
     def own_member(self) -> Member:
@@ -102,8 +104,13 @@
 
     def start(self) -> None:
         """Writes the own row and polls the platform; only one program of each VM does this."""
-        gevent.spawn(self._announce_until_written)
-        gevent.spawn(self._refresh_periodically)
+        self._platform.tables.on_restored(self._note_restored)
+        self._tasks.spawn(self._announce_until_written)
+        self._tasks.spawn(self._refresh_periodically)
+
+    def stop(self) -> None:
+        """Ends what `start` has started."""
+        self._tasks.kill()
 
     def refresh(self) -> bool:
         """Reads the changes from the platform; returns whether the view changed."""
@@ -155,6 +162,11 @@
             return False
         return vm == self._own.vm or self._live is None or vm in self._live
 
+    def _note_restored(self, era: int) -> None:
+        """Writes the own row again, because the restored table may lack it."""
+        logger().warning("store-restored", era=era)
+        self._tasks.spawn(self._announce_until_written)
+
     def _announce_until_written(self) -> None:
         while not self.announce():
             gevent.sleep(ANNOUNCE_RETRY_INTERVAL_S)
--- a/siskindale/platform/store.py
+++ b/siskindale/platform/store.py
@@ -18,7 +18,13 @@
     Row,
     Write,
 )
-from siskindale.store.versions import NO_VERSION, commit_of, era_of, version_in_era
+from siskindale.store.versions import (
+    NO_VERSION,
+    EraTracker,
+    commit_of,
+    era_of,
+    version_in_era,
+)
 from siskindale.transport.http import HttpClient, HttpResponse
 from siskindale.transport.metrics import TrafficPurpose
 
@@ -29,8 +35,6 @@
 # Added to the time for which a watch may wait.
 WATCH_TIMEOUT_MARGIN_S = 0.6
 PAGE_ROWS = 500
-# Rises by one each time the store is restored from an older copy.
-ERA_HEADER = "store-era"
 
 _FAILURE_BY_STATUS = {
     404: PlatformFailure.UNAVAILABLE,
@@ -60,12 +64,11 @@
         self._client = HttpClient(
             address, headers, TrafficPurpose.PLATFORM, connect_timeout_s=CONNECT_TIMEOUT_S
         )
-        self._era: int | None = None
-        self._restoration_listeners: list[Callable[[int], None]] = []
+        self._eras = EraTracker()
 
     def on_restored(self, listener: Callable[[int], None]) -> None:
         """Calls `listener` with the new era when the store was restored from an older copy."""
-        self._restoration_listeners.append(listener)
+        self._eras.on_restored(listener)
 
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Returns the current row, None if it does not exist."""
@@ -96,12 +99,12 @@
 
     def watch(self, table: str, after: int, wait_s: float) -> Result[Changes, PlatformError]:
         """Waits up to `wait_s` for changes; `HISTORY_LOST` calls for a new snapshot."""
-        if self._is_of_earlier_era(after):
+        if self._eras.has_ended(after):
             return Failure(_history_lost("the store was restored"))
         query = {"table": table, "after": commit_of(after), "wait_ms": int(wait_s * 1000)}
         found = self._get("/v1/rows-feed", query, wait_s + WATCH_TIMEOUT_MARGIN_S)
         # Commits of the new era up to `after` are missing in the response.
-        if isinstance(found, Success) and self._is_of_earlier_era(after):
+        if isinstance(found, Success) and self._eras.has_ended(after):
             return Failure(_history_lost("the store was restored"))
         return found
 
@@ -109,7 +112,7 @@
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> Result[int, PlatformError]:
         """Applies all writes in one transaction if all conditions hold; returns the new version."""
-        if any(self._is_of_earlier_era(row.version) for row in conditions):
+        if any(self._eras.has_ended(row.version) for row in conditions):
             # The store may have given out the number of the commit a second time.
             return Failure(PlatformError(PlatformFailure.CONFLICT, "the store was restored"))
         body = {
@@ -142,25 +145,14 @@
             kind = PlatformFailure.UNKNOWN if failure.maybe_sent else PlatformFailure.UNAVAILABLE
             return Failure(PlatformError(kind, failure.detail))
         response = result.unwrap()
-        era = _decode_era(response, self._era or 0)
-        self._note_era(era)
-        if era < (self._era or 0):
-            detail = f"response of era {era}, which has ended"
-            return Failure(PlatformError(PlatformFailure.UNKNOWN, detail))
+        era = self._eras.note_response(response.headers)
+        if era is None:
+            return Failure(PlatformError(PlatformFailure.UNKNOWN, "response of an ended era"))
         if response.status == 200:
             return _decode_body(response).map(lambda body: _StoreResponse(body, era))
         kind = _FAILURE_BY_STATUS.get(response.status, PlatformFailure.UNKNOWN)
         return Failure(PlatformError(kind, f"{path.partition('?')[0]}: status {response.status}"))
 
-    def _is_of_earlier_era(self, version: int) -> bool:
-        return version != NO_VERSION and era_of(version) < (self._era or 0)
-
-    def _note_era(self, era: int) -> None:
-        known, self._era = self._era, max(self._era or 0, era)
-        if known is not None and era > known:
-            for listener in self._restoration_listeners:
-                listener(era)
-
 
 def _encode_key(table: str, key: str) -> dict[str, str]:
     return {"table": table, "part": "", "key": key}
@@ -170,11 +162,6 @@
     return base64.b64encode(json.dumps(value).encode()).decode()
 
 
-def _decode_era(response: HttpResponse, known: int) -> int:
-    text = response.headers.get(ERA_HEADER, "")
-    return int(text) if text.isdecimal() else known
-
-
 def _decode_body(response: HttpResponse) -> Result[dict[str, Any], PlatformError]:
     try:
         body = json.loads(response.body)
--- a/siskindale/store/http.py
+++ b/siskindale/store/http.py
@@ -1,7 +1,7 @@
 """Platform driver for services that speak JSON over HTTP/1.1."""
 
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -19,6 +19,7 @@
     Row,
     Write,
 )
+from siskindale.store.versions import NO_VERSION, EraTracker, commit_of, version_in_era
 from siskindale.transport.http import HttpClient, HttpFailure, HttpResponse, identity_headers
 from siskindale.transport.metrics import TrafficPurpose
 
@@ -57,6 +58,7 @@
             address, identity_headers("platform-client", settings.client), TrafficPurpose.PLATFORM
         )
         self._timeout_s = settings.timeout_ms / 1000
+        self.eras = EraTracker()
 
     def exchange(
         self, method: str, path: str, body: bytes = b""
@@ -66,6 +68,8 @@
         if isinstance(result, Failure):
             return Failure(_to_platform_error(result.failure()))
         response = result.unwrap()
+        if self.eras.note_response(response.headers) is None:
+            return Failure(PlatformError(PlatformFailure.UNKNOWN, "response of an ended era"))
         if response.status in (200, 404):
             return Success(response)
         return Failure(PlatformError(_failure_kind(response.status), _response_detail(response)))
@@ -104,25 +108,44 @@
     def __init__(self, service: _ServiceClient) -> None:
         self._service = service
 
+    def on_restored(self, listener: Callable[[int], None]) -> None:
+        """Calls `listener` with the new era when the service was restored from an older copy."""
+        self._service.eras.on_restored(listener)
+
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Returns the current row, None if it is absent."""
         result = self._service.call("/tables/read", {"table": table, "key": key}, _ReadResponse)
-        return result.map(lambda response: response.row)
+        return result.map(lambda response: response.row and self._in_era(response.row))
 
     def scan(self, table: str, after_version: int = 0) -> Result[list[Row], PlatformError]:
-        """Returns rows changed after a version, including deleted ones, in order of version."""
-        request = {"table": table, "after_version": after_version}
-        return self._service.call("/tables/scan", request, _ScanResponse).map(
-            lambda response: response.rows
-        )
+        """Returns rows changed after a version, including deleted ones, in order of version.
+
+        Returns all rows if the service was restored from an older copy since that version.
+        """
+        found = self._scan(table, after_version)
+        if isinstance(found, Success) and self._service.eras.has_ended(after_version):
+            return self._scan(table, NO_VERSION)
+        return found
+
+    def _scan(self, table: str, after_version: int) -> Result[list[Row], PlatformError]:
+        request = {"table": table, "after_version": commit_of(after_version)}
+        result = self._service.call("/tables/scan", request, _ScanResponse)
+        return result.map(lambda response: [self._in_era(row) for row in response.rows])
+
+    def _in_era(self, row: Row) -> Row:
+        return attrs.evolve(row, version=version_in_era(self._service.eras.era, row.version))
 
     def commit(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> Result[int, PlatformError]:
         """Applies all writes in one transaction if all conditions hold; returns the new version."""
-        request = {"conditions": list(conditions), "writes": list(writes)}
+        if any(self._service.eras.has_ended(row.version) for row in conditions):
+            # The service may have given out the number of the commit a second time.
+            return Failure(PlatformError(PlatformFailure.CONFLICT, "the service was restored"))
+        expected = [attrs.evolve(row, version=commit_of(row.version)) for row in conditions]
+        request = {"conditions": expected, "writes": list(writes)}
         result = self._service.call("/tables/commit", request, _CommitResponse)
-        return result.map(lambda response: response.version)
+        return result.map(lambda response: version_in_era(self._service.eras.era, response.version))
 
 
 class HttpObjects:
--- a/siskindale/store/interface.py
+++ b/siskindale/store/interface.py
@@ -88,6 +88,10 @@
 class TableService(Protocol):
     """Transactional tables."""
 
+    def on_restored(self, listener: Callable[[int], None]) -> None:
+        """Calls `listener` with the new era when the service was restored from an older copy."""
+        ...
+
     def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
         """Returns the current row, None if it is absent."""
         ...
--- a/standins/platform/api.py
+++ b/standins/platform/api.py
@@ -100,11 +100,18 @@
         self._state = PlatformState()
         self._routes = Handlers(self._state).by_path
         self._server: Server | None = None
-        self.admin = Server(admin, {"/faults": self._set_faults, "/live": self._set_live}, Faults())
+        admin_routes = {
+            "/faults": self._set_faults,
+            "/live": self._set_live,
+            "/backup": self._back_up,
+            "/restore": self._restore,
+        }
+        self.admin = Server(admin, admin_routes, Faults())
 
     def start(self) -> None:
         """Starts the server of the services."""
         self._server = Server(self._listen, self._routes, self._faults)
+        self._server.common_headers.append(("Store-Era", str(self._state.era)))
         self._server.start()
 
     def _stop(self) -> None:
@@ -132,6 +139,17 @@
             self._server.cut_connections()
         return Reply(attrs.asdict(self._faults))
 
+    def _back_up(self, _: Request) -> Reply:
+        self._state.back_up()
+        return Reply()
+
+    def _restore(self, _: Request) -> Reply:
+        """Restores the tables from the backup; open connections are closed."""
+        self._stop()
+        self._state.restore()
+        self.start()
+        return Reply()
+
     def _set_live(self, request: Request) -> Reply:
         """Replaces the live list on POST and returns it."""
         if request.method == "POST":
--- a/standins/platform/services.py
+++ b/standins/platform/services.py
@@ -62,10 +62,21 @@
     """State of all platform services."""
 
     tables: Tables = attrs.field(factory=Tables)
+    backup: Tables = attrs.field(factory=Tables)
+    era: int = 1
     objects: dict[str, bytes] = attrs.field(factory=dict)
     live: LiveView = LiveView(frozenset(), frozenset())
     live_revision: str = attrs.field(factory=lambda: uuid.uuid4().hex)
 
+    def back_up(self) -> None:
+        """Keeps a copy of the tables for `restore`."""
+        self.backup = self.tables.copy()
+
+    def restore(self) -> None:
+        """Replaces the tables by the kept copy, which begins a new era."""
+        self.tables.restore(self.backup)
+        self.era += 1
+
     def set_live(self, live: LiveView) -> None:
         """Replaces the live list under a new revision that is unique across restarts."""
         self.live, self.live_revision = live, uuid.uuid4().hex
--- a/standins/server.py
+++ b/standins/server.py
@@ -201,6 +201,7 @@
             handler_class=Connection,
         )
         self.idle_timeout_s = idle_timeout_s
+        self.common_headers: list[tuple[str, str]] = [("Content-Type", "application/json")]
         self.connections: set[Connection] = set()
         self._routes = routes
         self._faults = faults
@@ -235,10 +236,8 @@
         if path != "/faults" and self._faults.consume_lost_answer(path):
             connection.drop()
         data = reply.body if isinstance(reply.body, bytes) else _ENCODER.encode(reply.body)
-        start_response(
-            STATUS_LINES[reply.status],
-            [("Content-Type", "application/json"), ("Content-Length", str(len(data)))],
-        )
+        headers = [*self.common_headers, ("Content-Length", str(len(data)))]
+        start_response(STATUS_LINES[reply.status], headers)
         return [data]
 
     def _dispatch(self, request: Request) -> Reply:
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -55,6 +55,9 @@
         """Returns the platform interface that the programs use."""
         return Platform(tables=self, objects=_Objects(self), live_list=_LiveList(self))
 
+    def on_restored(self, listener: Callable[[int], None]) -> None:
+        """This fake is never restored."""
+
     def apply_delay(self) -> None:
         """Sleeps for `delay_s`."""
         if self.faults.delay_s:
--- /dev/null
+++ b/tests/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform services of the product's own interface."""
