Ask a store that gave no answer briefly, not for changes to come

A watch that began while the store was silent, or just after it, held a VM back for up to 2.6 s after the end of the outage. The first call after a failure does not wait for changes since the store can be restored; now its repetitions come each 0.5 s, and not at once, so that a silent outage of 5 s costs three calls a VM and not eight.

--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -27,9 +27,9 @@
 MISSING_TIMEOUT_S = 3.0
 
 
-# A call without an answer has waited already, so it is repeated soon. A refused call would only be
-# refused again, so it is repeated after `RETRY_S`.
-_RETRY_S = {PlatformFailure.HISTORY_LOST: 0.0, PlatformFailure.UNKNOWN: TIMEOUT_RETRY_S}
+# A watch that ends without an answer has waited already, so the store is asked again soon. Further
+# calls, and those after a refusal, follow after `RETRY_S`.
+_FIRST_RETRY_S = {PlatformFailure.HISTORY_LOST: 0.0, PlatformFailure.UNKNOWN: TIMEOUT_RETRY_S}
 
 
 class TableFollower:
@@ -109,9 +109,11 @@
 
     def _follow_once(self) -> float:
         """Waits for changes and applies them; returns the seconds to wait before the next call."""
+        was_available = self._follower.available
         answer = self._follower.next_changes()
         if isinstance(answer, Failure):
-            return _RETRY_S.get(answer.failure().kind, RETRY_S)
+            kind = answer.failure().kind
+            return _FIRST_RETRY_S.get(kind, RETRY_S) if was_available else RETRY_S
         changes, _ = answer.unwrap()
         rows = (row for row in changes.rows if row.key == CATALOG_KEY and not row.deleted)
         adopted = [self._state.adopt_catalog(row.value, "store") for row in rows]
