Reserve terms above those of earlier eras of the store

Looked for elsewhere: controllers of the own interface reserve terms in the value of a row. After a restoration the row is older or missing, so a controller could reserve terms that another one holds unused since before, and both could promote with the same term. Versions with the era do not help, because terms are counted apart. The terms of each era now begin 2^20 above those of the era before, so a term of a lost reservation is never given out again, whoever still holds it. Both cases of the test fail without the change.

--- a/siskindale/controller/program.py
+++ b/siskindale/controller/program.py
@@ -57,6 +57,7 @@
         self._term_store = TermStore(
             components.platform.tables, self._on_terms_read, self._on_terms_commit
         )
+        components.platform.tables.on_restored(self._on_store_restored)
         self._group_ranking = GroupRanking(components.directory)
         self._assignment_runner = AssignmentRunner(self._assign)
         components.mailbox.set_handler(PrimaryCheckRequest, self._on_primary_check_request)
@@ -141,6 +142,9 @@
         self._execute(terms.on_commit(self._tables, call, failure, self._clock.monotonic()))
         self._loop.wake()
 
+    def _on_store_restored(self, era: int) -> None:
+        self._tables.store_era = era
+
     def _on_primary_check_request(self, delivery: Delivery) -> None:
         reply = detection.answer_peer(self._tables, delivery.body, self._clock.monotonic())
         if reply is not None:
--- a/siskindale/controller/systems/terms.py
+++ b/siskindale/controller/systems/terms.py
@@ -9,12 +9,16 @@
 from siskindale.controller.effects import CommitTerms, Effect, LogEvent, ReadTerms
 from siskindale.controller.tables import ReservationStage, Tables, TermsRow
 from siskindale.store.interface import Condition, PlatformFailure, Row, Write
+from siskindale.store.versions import era_of
 
 TERMS_TABLE = "terms"
 RESERVED_TERMS = 2
 RETRY_S = 0.5
 # More than three controllers can add while one of them waits for the answer to a read.
 KEPT_RESERVATIONS = 16
+# More terms than a group can use in an era of the store.
+TERMS_PER_ERA = 1 << 20
+FIRST_ERA = 1
 
 
 def run(tables: Tables, now: float, random: Random) -> list[Effect]:
@@ -87,7 +91,11 @@
 def _commit_reservation(tables: Tables, row: TermsRow, found: Row | None) -> CommitTerms:
     group = tables.groups.get(row.group)
     value = found.value if found else {}
-    highest = max(int(value.get("highest", 0)), group.highest_term if group else 0)
+    highest = max(
+        int(value.get("highest", 0)),
+        group.highest_term if group else 0,
+        _terms_before_era(max(tables.store_era, era_of(found.version) if found else 0)),
+    )
     terms = tuple(range(highest + 1, highest + 1 + RESERVED_TERMS - len(row.terms)))
     kept = [*value.get("reservations", []), [row.reservation_id, *terms]][-KEPT_RESERVATIONS:]
     return CommitTerms(
@@ -99,6 +107,11 @@
     )
 
 
+def _terms_before_era(era: int) -> int:
+    """Returns the highest term of earlier eras, whose reservations a restored store may lack."""
+    return max(0, era - FIRST_ERA) * TERMS_PER_ERA
+
+
 def _resolve_reservation(row: TermsRow, found: Row | None) -> list[Effect]:
     reservations = found.value.get("reservations", []) if found else []
     own_terms = next(
--- a/siskindale/controller/tables.py
+++ b/siskindale/controller/tables.py
@@ -153,9 +153,14 @@
 
 @attrs.define
 class Tables:
-    """All state of a controller; `resumed_at` is when it started or last resumed after a pause."""
+    """All state of a controller.
+
+    `resumed_at` is when it started or last resumed after a pause. `store_era` is the era of the
+    table service, 0 while it has not been restored during this run.
+    """
 
     vm: str
+    store_era: int = 0
     durations: Durations = Durations()
     leaving: frozenset[str] = frozenset()
     draining: bool = False
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -16,6 +16,7 @@
     Row,
     Write,
 )
+from siskindale.store.versions import commit_of, version_in_era
 
 DIGEST_PATTERN = re.compile("[0-9a-f]{64}")
 
@@ -56,7 +57,16 @@
         return Platform(tables=self, objects=_Objects(self), live_list=_LiveList(self))
 
     def on_restored(self, listener: Callable[[int], None]) -> None:
-        """This fake is never restored."""
+        """Tests tell of a restoration themselves."""
+
+    def restore(self, rows: dict[tuple[str, str], Row], era: int) -> None:
+        """Replaces all rows by an older copy, with which `era` begins."""
+        self.rows = {
+            key: attrs.evolve(row, version=version_in_era(era, commit_of(row.version)))
+            for key, row in rows.items()
+        }
+        last = max((commit_of(row.version) for row in self.rows.values()), default=0)
+        self.version = version_in_era(era, last)
 
     def apply_delay(self) -> None:
         """Sleeps for `delay_s`."""
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -6,6 +6,7 @@
 from siskindale.controller.systems import detection
 from siskindale.models.bundle import TargetState
 from siskindale.models.wire import PrimaryReport
+from siskindale.store.interface import Write
 from tests.fakes.controllers import ControllerSimulation
 from tests.fakes.group import FakeTarget, bundle_target
 
@@ -119,6 +120,26 @@
     assert len({t for terms in reserved for t in terms}) == 6
 
 
+@pytest.mark.parametrize("row_restored", [True, False])
+def test_no_term_is_reserved_a_second_time_after_a_restoration(row_restored: bool) -> None:
+    """Guards against two promotions with one term, of which the restored store lacks the first."""
+    simulation = ControllerSimulation()
+    backup = {}
+    if row_restored:
+        simulation.store.commit([], [Write("terms", "g", {"highest": 1})])
+        backup = dict(simulation.store.rows)
+    simulation.run(1.0)
+    reserved = {t for c in simulation.controllers.values() for t in c.tables.terms["g"].terms}
+    assert len(reserved) == 6
+    simulation.store.restore(backup, era=2)
+    simulation.restart("x1")
+    if not row_restored:
+        simulation.controllers["x1"].tables.store_era = 2
+    simulation.run(1.0)
+    assert len(simulation.controllers["x1"].tables.terms["g"].terms) == 2
+    assert not reserved & set(simulation.controllers["x1"].tables.terms["g"].terms)
+
+
 @pytest.mark.parametrize("sent", [True, False])
 def test_lost_store_answer_is_resolved_by_reading(sent: bool) -> None:
     """Guards against a term used by two controllers, and a reservation that is never completed."""
