End the proxy with one line if an address is in use

An address that another process uses ended the proxy with a traceback, so that neither an operator nor a script could tell a wrong port from a fault. The sockets for clients, readiness probes and other VMs now raise an error with purpose, address and reason, which is printed as one line with exit status 1. The three cases of the test fail without the change. The metrics address stays as it was: without it the proxy serves, and logs metrics-unavailable.

--- a/siskindale/proxy/core.py
+++ b/siskindale/proxy/core.py
@@ -8,6 +8,7 @@
 
 from siskindale.context import Environment
 from siskindale.exits import ExitStatus
+from siskindale.proxy.listening import AddressUnavailableError
 from siskindale.proxy.settings import load_settings
 
 
@@ -32,4 +33,8 @@
         for finding in loaded.failure():
             print(f"{env.program}: error: {finding}", file=env.stderr)
         return ExitStatus.INVALID_INPUT
-    return program.run(loaded.unwrap(), env, lambda: load_settings(path), listener)
+    try:
+        return program.run(loaded.unwrap(), env, lambda: load_settings(path), listener)
+    except AddressUnavailableError as error:
+        print(f"{env.program}: error: {error}", file=env.stderr)
+        return ExitStatus.ERROR
--- a/siskindale/proxy/listening.py
+++ b/siskindale/proxy/listening.py
@@ -8,6 +8,14 @@
 import json
 import socket
 
+
+class AddressUnavailableError(Exception):
+    """An address that the settings give cannot be used; the message names it and the reason."""
+
+    def __init__(self, purpose: str, address: object, reason: OSError) -> None:
+        super().__init__(f"cannot listen for {purpose} at {address}: {reason.strerror or reason}")
+
+
 # All sessions of a deployment may connect at once, and a full backlog delays clients by seconds.
 ACCEPT_BACKLOG = 1024
 
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -26,6 +26,7 @@
 from siskindale.proxy.duty import Duties, DutyKeeper
 from siskindale.proxy.failover import Failover
 from siskindale.proxy.followers import CatalogFollower, TargetsFollower
+from siskindale.proxy.listening import AddressUnavailableError
 from siskindale.proxy.members import Membership
 from siskindale.proxy.ownership import Ownership
 from siskindale.proxy.peers import Peers
@@ -147,9 +148,9 @@
         gevent.signal_handler(signal.SIGHUP, self._reload)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
         address = self._settings.readiness
-        readiness_server(address, self._is_ready).start()
+        _listen("readiness probes", address, readiness_server(address, self._is_ready).start)
         self._serve_metrics(Address(address.host, self._settings.metrics_port))
-        self._membership.start()
+        _listen("other VMs", self._settings.peers, self._membership.start)
         for background_task in (
             self._directory.run,
             self._serve_forwarded,
@@ -228,6 +229,13 @@
         self._membership.reload(settings)
 
 
+def _listen(purpose: str, address: Address, start: Callable[[], None]) -> None:
+    try:
+        start()
+    except OSError as error:
+        raise AddressUnavailableError(purpose, address, error) from error
+
+
 def run(
     settings: ProxySettings, env: Environment, load: SettingsLoader, listener: socket.socket | None
 ) -> ExitStatus:
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -10,7 +10,7 @@
 from siskindale.models.address import Address
 from siskindale.platform.readiness import READINESS_PATH
 from siskindale.proxy import metrics
-from siskindale.proxy.listening import ACCEPT_BACKLOG
+from siskindale.proxy.listening import ACCEPT_BACKLOG, AddressUnavailableError
 from siskindale.proxy.runners import Runners
 from siskindale.proxy.session import ClientSession
 from siskindale.proxy.state import ProxyState
@@ -32,11 +32,8 @@
         self._state = state
         self._runners = runners
         self._sessions: set[ClientSession] = set()
-        if listener is None:
-            listener = system_socket.create_server(
-                (address.host, address.port), backlog=ACCEPT_BACKLOG
-            )
-        self._server = StreamServer(socket.socket(fileno=listener.detach()), self._serve)
+        opened = listener or _listen_for_clients(address)
+        self._server = StreamServer(socket.socket(fileno=opened.detach()), self._serve)
 
     @property
     def sessions(self) -> set[ClientSession]:
@@ -58,6 +55,13 @@
             metrics.SESSIONS.dec()
 
 
+def _listen_for_clients(address: Address) -> system_socket.socket:
+    try:
+        return system_socket.create_server((address.host, address.port), backlog=ACCEPT_BACKLOG)
+    except OSError as error:
+        raise AddressUnavailableError("clients", address, error) from error
+
+
 def readiness_server(address: Address, is_ready: Callable[[], bool]) -> StreamServer:
     """Returns the server for the platform's readiness probe, which reads only the status code."""
     return create_http_server(
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -1,7 +1,9 @@
 """Start of the session proxy, before and while its libraries are imported."""
 
+import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -9,6 +11,7 @@
 import pytest
 
 from bench.processes import ROOT, Processes, free_addresses
+from siskindale.exits import ExitStatus
 from siskindale.proxy import listening
 from tests.proxy.deployment import WAIT_TIMEOUT_S, Deployment, eventually
 
@@ -67,3 +70,30 @@
     process = processes.start("check", "siskindale.proxy", ["check-settings", str(path)])
     process.signal(signal.SIGTERM)
     assert process.popen.wait(WAIT_TIMEOUT_S) == -signal.SIGTERM
+
+
+@pytest.mark.parametrize(
+    ("setting", "purpose", "kind"),
+    [
+        ("clients", "clients", socket.SOCK_STREAM),
+        ("readiness", "readiness probes", socket.SOCK_STREAM),
+        ("peers", "other VMs", socket.SOCK_DGRAM),
+    ],
+)
+def test_an_address_in_use_gives_one_line_and_an_exit_status(
+    deployment: Deployment, processes: Processes, setting: str, purpose: str, kind: int
+) -> None:
+    """Guards against a traceback for a mistake of the operator."""
+    path, *_ = deployment.write_settings("vm1")
+    address = json.loads(path.read_text())[setting]
+    host, _, port = address.rpartition(":")
+    with socket.socket(socket.AF_INET, kind) as other:
+        other.bind((host, int(port)))
+        if kind == socket.SOCK_STREAM:
+            other.listen()
+        process = processes.start("vm1", "siskindale.proxy", ["--settings", str(path)])
+        assert process.popen.wait(WAIT_TIMEOUT_S) == ExitStatus.ERROR
+    log = process.log.read_text()
+    expected = f"siskindale-proxy: error: cannot listen for {purpose} at {address}: Address"
+    assert [line for line in log.splitlines() if line.startswith(expected)]
+    assert "Traceback" not in log
