Serve forwarded statements only where VMs forward

Cause: 0.1 s after its start, when the sessions of a lost fleet have just come back, a VM imported the owner's side of forwarding, also in a small fleet, where nobody forwards.

Change: a VM serves links once it knows that not all VMs own all connections, and asks that each 0.25 s. The test fails without the change.

--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -49,6 +49,8 @@
 # By then, sessions that were waiting at the start have their first connections to targets.
 LOG_SETUP_DELAY_S = 0.3
 PEER_EXCHANGE_DELAY_S = 0.1
+# VMs of a growing fleet forward to others that have not noticed yet; these refuse until then.
+FORWARDING_CHECK_INTERVAL_S = 0.25
 
 SettingsLoader = Callable[[], Result[ProxySettings, tuple[Finding, ...]]]
 
@@ -132,12 +134,19 @@
         return self._forwarding_runners
 
     def _serve_forwarded(self) -> None:
-        """Serves other VMs, delayed because its import would hold up first clients."""
+        """Serves other VMs once some of them do not own all connections themselves.
+
+        The import would hold up the first clients, and a small fleet needs none of it.
+        """
         gevent.sleep(PEER_EXCHANGE_DELAY_S)
+        self._wait_until_ownership_known()
+        while all(map(self._ownership.owns_everything, self._state.groups.values())):
+            gevent.sleep(FORWARDING_CHECK_INTERVAL_S)
         from siskindale.proxy.owner import ForwardingServer
 
         server = ForwardingServer(self._settings, self._state, self._ownership, self._runners)
         server.start()
+        logger().info("forwarding-served", members=len(self._membership.table.serving()))
 
     def _wait_until_ownership_known(self) -> None:
         self._directory.wait_until_settled()
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -1,10 +1,13 @@
 """Statements that are forwarded to the owner of a group's connections, between proxy processes."""
 
+import json
 import signal
 
 import gevent
 import pytest
+from gevent import socket
 
+from siskindale.proxy.program import FORWARDING_CHECK_INTERVAL_S, PEER_EXCHANGE_DELAY_S
 from tests.proxy.deployment import Deployment, Proxy, eventually
 
 VMS = 4
@@ -141,3 +144,23 @@
         assert client.query(f"WRITE item {number}").error is None
         gevent.sleep(0.05)
     assert not owner.process.running
+
+
+def test_a_vm_serves_others_only_once_they_have_to_forward(deployment: Deployment) -> None:
+    """Guards against a small fleet that pays for forwarding while its first clients wait."""
+    proxy = deployment.start_proxy("vm1")
+    host, _, port = json.loads(deployment.path("vm1").read_text())["forwarding"].rpartition(":")
+
+    def accepts_links() -> bool:
+        try:
+            socket.create_connection((host, int(port))).close()
+        except ConnectionRefusedError:
+            return False
+        return True
+
+    gevent.sleep(PEER_EXCHANGE_DELAY_S + 2 * FORWARDING_CHECK_INTERVAL_S)
+    assert proxy.ready
+    assert not accepts_links()
+    deployment.max_connections = 2
+    deployment.configure(2)
+    eventually(accepts_links, "links are accepted")
