Split the health of pools and final answers from the entry's forwarding

Whether a pool still answers is in entry/pool_health.py, the answer to a request that no pool completed in entry/final_answers.py, and the retry budget refills itself. Functions moved unchanged; those that other modules use lost their underscore.

--- a/siskindale/entry/dispatcher.py
+++ b/siskindale/entry/dispatcher.py
@@ -5,7 +5,7 @@
 from gevent.event import AsyncResult
 
 from siskindale.context import Clock
-from siskindale.entry import forwarding, metrics
+from siskindale.entry import forwarding, metrics, pool_health
 from siskindale.entry.routes import DirectoryRoutes
 from siskindale.entry.tables import (
     DiscardQueue,
@@ -78,7 +78,7 @@
 
     def _tick(self, now: float) -> float | None:
         self._execute(forwarding.tick(self._tables, self._routes, now))
-        forwarding.remove_departed_pools(self._tables, self._routes.live_vms)
+        pool_health.remove_departed_pools(self._tables, self._routes.live_vms)
         self._next_tick_at = forwarding.next_tick_at(self._tables, now)
         return self._next_tick_at
 
@@ -143,7 +143,7 @@
         if program == "pool":
             now = self._clock.monotonic()
             forwarding.record_message(self._tables, vm, delivery.envelope.sender_boot, now)
-            forwarding.mark_draining(self._tables, vm, now)
+            pool_health.mark_draining(self._tables, vm, now)
             logger().info("pool-drains", pool=vm)
 
     def _record_message(self, delivery: Delivery, now: float) -> str:
--- a/siskindale/entry/forwarding.py
+++ b/siskindale/entry/forwarding.py
@@ -9,12 +9,23 @@
 
 import attrs
 
+from siskindale.entry.final_answers import final_answer
+from siskindale.entry.pool_health import (
+    PAUSE_THRESHOLD_S,
+    PROBE_AFTER_S,
+    PROBE_TIMEOUT_S,
+    get_or_add_pool,
+    is_avoided,
+    mark_draining,
+    mark_unresponsive,
+    outstanding_requests,
+    start_probe_if_due,
+)
 from siskindale.entry.tables import (
     Attempt,
     DiscardQueue,
     Effect,
     PendingRequest,
-    PoolState,
     Request,
     Resolution,
     RetryBudget,
@@ -27,14 +38,6 @@
 from siskindale.models.outcomes import Outcome, Refusal, RefusalKind
 from siskindale.models.wire import Answer, BeginRequest, StatementRequest
 
-# A pool with outstanding requests that sends nothing for PROBE_AFTER_S is probed. If the probe is
-# not answered within PROBE_TIMEOUT_S, the pool is avoided and probed again at doubling intervals.
-PROBE_AFTER_S = 0.1
-PROBE_TIMEOUT_S = 0.4
-AVOID_MIN_S = 2.0
-AVOID_MAX_S = 10.0
-# A longer gap between ticks means that this process was paused; answers may be waiting unread.
-PAUSE_THRESHOLD_S = 0.2
 # A message may be lost: after this fraction of their time, reads and keyed writes are sent to
 # another pool.
 RESEND_AFTER_FRACTION = 0.5
@@ -42,11 +45,7 @@
 REPLY_RESERVE_FRACTION = 0.1
 REPLY_RESERVE_MAX_S = 0.05
 MAX_ATTEMPTS = 4
-NO_POOL_RETRY_MS = 1000
 RECHECK_INTERVAL_S = 0.1
-RETRY_BUDGET_MAX = 500.0
-# Tokens added per second even without traffic, so that an idle entry can resend at all.
-RETRY_BUDGET_REFILL_PER_S = 2.0
 
 RETRIABLE_REFUSALS = frozenset(
     {RefusalKind.WRONG_POOL, RefusalKind.SHUTTING_DOWN, RefusalKind.UNAVAILABLE}
@@ -61,10 +60,8 @@
 def submit(tables: Tables, pending: PendingRequest, routes: Routes, now: float) -> list[Effect]:
     """Adds a new request and sends it to a pool."""
     tables.pending[pending.number] = pending
-    _refill_retry_budget(tables.retry_budget, now)
-    tables.retry_budget.tokens = min(
-        RETRY_BUDGET_MAX, tables.retry_budget.tokens + routes.retry_ratio
-    )
+    tables.retry_budget.refill(now)
+    tables.retry_budget.add(routes.retry_ratio)
     return _send_or_resolve(tables, pending, routes, now)
 
 
@@ -75,7 +72,7 @@
     pending, attempt = tables.attempts[correlation_id]
     refusal = Refusal(RefusalKind.UNAVAILABLE, f"pool {attempt.pool} takes no more requests")
     _record_outcome(tables, attempt, Outcome.NOT_RUN, refusal)
-    _mark_unresponsive(tables.pools[attempt.pool], now)
+    mark_unresponsive(tables.pools[attempt.pool], now)
     _schedule_pool_requests(tables, attempt.pool, now)
     return _send_or_resolve(tables, pending, routes, now)
 
@@ -115,14 +112,9 @@
         _schedule_pool_requests(tables, vm, now)
 
 
-def mark_draining(tables: Tables, vm: str, now: float) -> None:
-    """Marks a pool as draining; after a restart, it takes new requests again."""
-    _get_or_add_pool(tables, vm, now).draining_until = now + AVOID_MAX_S
-
-
 def tick(tables: Tables, routes: Routes, now: float) -> list[Effect]:
     """Checks the pools and processes the requests whose timers have expired."""
-    _refill_retry_budget(tables.retry_budget, now)
+    tables.retry_budget.refill(now)
     effects: list[Effect] = check_pools(tables, now)
     while tables.timers and tables.timers[0][0] <= now:
         _, number = heapq.heappop(tables.timers)
@@ -140,10 +132,10 @@
     for pool in tables.pools.values():
         if was_paused and pool.probe_sent_at is not None:
             pool.probe_sent_at = now
-        if _start_probe_if_due(pool, now):
+        if start_probe_if_due(pool, now):
             effects.append(SendProbe(pool.vm))
         elif pool.probe_sent_at is not None and now - pool.probe_sent_at >= PROBE_TIMEOUT_S:
-            _mark_unresponsive(pool, now)
+            mark_unresponsive(pool, now)
             effects.append(DiscardQueue(pool.vm))
             _schedule_pool_requests(tables, pool.vm, now)
     return effects
@@ -160,24 +152,18 @@
     return min(due_times, default=None)
 
 
-def remove_departed_pools(tables: Tables, vms: set[str]) -> None:
-    """Removes pools that are not among `vms` and have no outstanding requests."""
-    for vm in [vm for vm, pool in tables.pools.items() if vm not in vms and not pool.outstanding]:
-        del tables.pools[vm]
-
-
 def _send_or_resolve(
     tables: Tables, pending: PendingRequest, routes: Routes, now: float
 ) -> list[Effect]:
     if now >= pending.deadline:
-        return [_resolve(tables, pending, _final_answer(pending, now), "")]
+        return [_resolve(tables, pending, final_answer(pending, now), "")]
     should_send = _should_send(tables, pending, now)
     if should_send and (not pending.attempts or tables.retry_budget.tokens >= 1.0):
         vm = _choose_pool(tables, pending, routes, now)
         if vm is not None:
             return [_start_attempt(tables, pending, vm, routes, now)]
     if all(attempt.outcome is not None for attempt in pending.attempts):
-        return [_resolve(tables, pending, _final_answer(pending, now), "")]
+        return [_resolve(tables, pending, final_answer(pending, now), "")]
     _set_timer(
         tables, pending, now + RECHECK_INTERVAL_S if should_send else _next_check_at(pending, now)
     )
@@ -222,22 +208,16 @@
     return resend_at if resendable and resend_at > now else pending.deadline
 
 
-def _refill_retry_budget(retry_budget: RetryBudget, now: float) -> None:
-    added = (now - retry_budget.refilled_at) * RETRY_BUDGET_REFILL_PER_S
-    retry_budget.tokens = min(RETRY_BUDGET_MAX, retry_budget.tokens + added)
-    retry_budget.refilled_at = now
-
-
 def _choose_pool(tables: Tables, pending: PendingRequest, routes: Routes, now: float) -> str | None:
     """Picks the least loaded of the first `pools_per_group` usable pools, else the next in rank."""
     if pending.fixed_pool is not None:
         return pending.fixed_pool
     ranked_vms = routes.ranked_vms(pending.group)
     tried_pools = pending.tried_pools
-    usable = [vm for vm in ranked_vms if not _is_avoided(tables, vm, now)]
+    usable = [vm for vm in ranked_vms if not is_avoided(tables, vm, now)]
     preferred = [vm for vm in usable[: routes.pools_per_group] if vm not in tried_pools]
     if preferred:
-        return min(preferred, key=lambda vm: _outstanding_requests(tables, vm))
+        return min(preferred, key=lambda vm: outstanding_requests(tables, vm))
     remaining = [vm for vm in usable if vm not in tried_pools]
     if remaining:
         return remaining[0]
@@ -245,23 +225,13 @@
     return ranked_vms[0] if ranked_vms and not pending.attempts else None
 
 
-def _is_avoided(tables: Tables, vm: str, now: float) -> bool:
-    pool = tables.pools.get(vm)
-    return pool is not None and pool.is_avoided(now)
-
-
-def _outstanding_requests(tables: Tables, vm: str) -> int:
-    pool = tables.pools.get(vm)
-    return pool.outstanding if pool else 0
-
-
 def _start_attempt(
     tables: Tables, pending: PendingRequest, vm: str, routes: Routes, now: float
 ) -> SendRequest:
     if pending.attempts:
         tables.retry_budget.tokens -= 1.0
     request = _request_for_pool(tables, pending, vm, routes, now)
-    pool = _get_or_add_pool(tables, vm, now)
+    pool = get_or_add_pool(tables, vm, now)
     if pool.outstanding == 0:
         pool.busy_since = now
     pool.outstanding += 1
@@ -285,7 +255,7 @@
     # The pool ranks itself without the excluded pools to decide whether it serves the group.
     ranked_before = itertools.takewhile(lambda other: other != vm, routes.ranked_vms(pending.group))
     tried_pools = pending.tried_pools
-    excluded = tuple(o for o in ranked_before if o in tried_pools or _is_avoided(tables, o, now))
+    excluded = tuple(o for o in ranked_before if o in tried_pools or is_avoided(tables, o, now))
     return attrs.evolve(request, budget_ms=budget_ms, excluded_pools=excluded)
 
 
@@ -318,56 +288,3 @@
     del tables.pending[pending.number]
     last_pool = pending.attempts[-1].pool if pending.attempts else ""
     return Resolution(pending.number, answer, vm or last_pool, len(pending.attempts))
-
-
-def _not_sent_refusal(pending: PendingRequest, now: float) -> Refusal:
-    if now >= pending.deadline:
-        detail = "the deadline passed before the request could be sent to a pool"
-        return Refusal(RefusalKind.DEADLINE_EXCEEDED, detail)
-    return Refusal(RefusalKind.UNAVAILABLE, "no pool of this database is known", NO_POOL_RETRY_MS)
-
-
-def _final_answer(pending: PendingRequest, now: float) -> Answer:
-    """Returns the answer to a request that no pool has completed."""
-    attempts = pending.attempts
-    request_id = pending.request.request_id
-    if not attempts:
-        return Answer(request_id, Outcome.NOT_RUN, refusal=_not_sent_refusal(pending, now))
-    if all(attempt.outcome is Outcome.NOT_RUN for attempt in attempts):
-        return Answer(request_id, Outcome.NOT_RUN, refusal=attempts[-1].refusal)
-    details = [a.refusal.detail for a in attempts if a.refusal and a.outcome is Outcome.UNKNOWN]
-    detail = details[-1] if details else "no pool answered within the deadline"
-    return Answer(request_id, Outcome.UNKNOWN, refusal=Refusal(RefusalKind.ANSWER_LOST, detail))
-
-
-def _get_or_add_pool(tables: Tables, vm: str, now: float) -> PoolState:
-    pool = tables.pools.get(vm)
-    if pool is None:
-        pool = tables.pools[vm] = PoolState(vm, last_message_at=now)
-    return pool
-
-
-def _start_probe_if_due(pool: PoolState, now: float) -> bool:
-    """Returns whether to probe the pool now, and records the probe."""
-    if pool.unresponsive:
-        if now < pool.next_probe_at:
-            return False
-        _mark_unresponsive(pool, now)
-        return True
-    if not pool.outstanding:
-        pool.probe_sent_at = None
-        return False
-    if (
-        pool.probe_sent_at is None
-        and now - max(pool.last_message_at, pool.busy_since) >= PROBE_AFTER_S
-    ):
-        pool.probe_sent_at = now
-        return True
-    return False
-
-
-def _mark_unresponsive(pool: PoolState, now: float) -> None:
-    pool.unresponsive = True
-    pool.probe_sent_at = None
-    pool.probe_delay_s = min(AVOID_MAX_S, max(AVOID_MIN_S, pool.probe_delay_s * 2))
-    pool.next_probe_at = now + pool.probe_delay_s
--- a/siskindale/entry/tables.py
+++ b/siskindale/entry/tables.py
@@ -18,6 +18,10 @@
 
 Request = StatementRequest | BeginRequest | TransactionStatement | FinishRequest
 
+RETRY_BUDGET_MAX = 500.0
+# Tokens added per second even without traffic, so that an idle entry can resend at all.
+RETRY_BUDGET_REFILL_PER_S = 2.0
+
 
 class RetryPolicy(enum.StrEnum):
     """When a request may be sent again, and to which pools."""
@@ -98,6 +102,15 @@
     tokens: float
     refilled_at: float
 
+    def refill(self, now: float) -> None:
+        """Adds the tokens that have accrued since the last refill."""
+        self.add((now - self.refilled_at) * RETRY_BUDGET_REFILL_PER_S)
+        self.refilled_at = now
+
+    def add(self, tokens: float) -> None:
+        """Adds tokens up to the maximum."""
+        self.tokens = min(RETRY_BUDGET_MAX, self.tokens + tokens)
+
 
 @attrs.define
 class Tables:
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -14,7 +14,7 @@
     rule,
 )
 
-from siskindale.entry import forwarding
+from siskindale.entry import forwarding, pool_health
 from siskindale.entry.tables import Effect, PendingRequest, Resolution, RetryPolicy, SendRequest
 from siskindale.models.outcomes import Outcome, Refusal, RefusalKind
 from siskindale.models.wire import (
@@ -155,7 +155,7 @@
     @rule(vm=st.sampled_from(VMS))
     def announce_drain(self, vm: str) -> None:
         """A pool announces that it drains."""
-        forwarding.mark_draining(self.tables, vm, self.now)
+        pool_health.mark_draining(self.tables, vm, self.now)
 
     @rule(item=consumes(sent))
     def lose_answer(self, item: SentRequest) -> None:
