--- a/siskindale/proxy/status.py
+++ b/siskindale/proxy/status.py
@@ -16,7 +16,8 @@
 )
 from siskindale.platform.store import PlatformStore
 from siskindale.proxy.duty import DUTY_KEY, DUTY_TABLE
-from siskindale.store.interface import PlatformError
+from siskindale.store.interface import Changes, PlatformError, Row
+from siskindale.store.versions import era_of
 
 
 @attrs.frozen
@@ -33,13 +34,14 @@
 
 @attrs.frozen
 class DeploymentStatus:
-    """Catalog version, registered targets, and holder of the failover duty."""
+    """Catalog version, registered targets, holder of the failover duty, and era of the store."""
 
     catalog_version: int
     databases: tuple[str, ...]
     targets: tuple[TargetLine, ...]
     duty_holder: str
     fencing_token: int
+    store_era: int
 
     def as_json(self) -> str:
         """Returns the status as JSON."""
@@ -51,6 +53,7 @@
         lines = [
             f"catalog version {self.catalog_version}, databases: {', '.join(self.databases)}",
             f"failover duty: {holder}, fencing token {self.fencing_token}",
+            f"store era {self.store_era}",
         ]
         for target in self.targets:
             if target.problem:
@@ -70,18 +73,19 @@
     for answer in (catalog, targets, duty):
         if isinstance(answer, Failure):
             return answer
-    return Success(_build_status(catalog.unwrap(), targets.unwrap().rows, duty.unwrap()))
+    return Success(_build_status(catalog.unwrap(), targets.unwrap(), duty.unwrap()))
 
 
-def _build_status(catalog: Any, targets: Any, duty: Any) -> DeploymentStatus:
+def _build_status(catalog: Row | None, targets: Changes, duty: Row | None) -> DeploymentStatus:
     decoded = decode_catalog(catalog.value) if catalog else Failure("no catalog")
     known_catalog = decoded.unwrap() if isinstance(decoded, Success) else None
     return DeploymentStatus(
         catalog_version=known_catalog.version if known_catalog else 0,
         databases=tuple(sorted(known_catalog.routes)) if known_catalog else (),
-        targets=tuple(_target_line(row.key, row.value) for row in targets),
+        targets=tuple(_target_line(row.key, row.value) for row in targets.rows),
         duty_holder=str(duty.value.get("holder", "")) if duty else "",
         fencing_token=duty.version if duty else 0,
+        store_era=era_of(targets.version),
     )
 
 
--- a/tests/proxy/test_deployment.py
+++ b/tests/proxy/test_deployment.py
@@ -142,6 +142,7 @@
     assert process.popen.returncode == ExitStatus.SUCCESS
     shown = json.loads(process.log.read_text())
     assert shown["catalog_version"] == 1
+    assert shown["store_era"] == deployment.platform.era
     assert {t["id"]: t["role"] for t in shown["targets"]}["t0"] == "primary"
     assert shown["targets"][-1]["problem"]
 
