--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -121,6 +121,12 @@
         path = environ["PATH_INFO"]
         if path == "/promote":
             return self._handle_promotion(environ, json.loads(body))
+        return self.handle_store_call(path, query, body)
+
+    def handle_store_call(
+        self, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        """Returns status and body of the response to a call of the store."""
         if self.faults.down or self.faults.rate_limited:
             return (503 if self.faults.down else 429), {}
         gevent.sleep(self.faults.delay_s)
