--- a/siskindale/proxy/duty.py
+++ b/siskindale/proxy/duty.py
@@ -74,7 +74,7 @@
     def held_before_restoration(self) -> bool:
         """Whether the store was restored while this VM held the duty, which it has to take again.
 
-        Until it has read the row again, it may use its token: no newer one may be in use.
+        Until then it promotes with its old token, which the platform refuses after a newer one.
         """
         return self._held_before_restoration
 
