--- a/siskindale/pool/answers.py
+++ b/siskindale/pool/answers.py
@@ -4,7 +4,8 @@
 from siskindale.models.outcomes import Outcome, Refusal, RefusalKind
 from siskindale.models.wire import Answer
 from siskindale.pool.effects import Effect, Reply
-from siskindale.pool.tables import Phase, RequestRow, Stage, Tables
+from siskindale.pool.stages import Phase, Stage
+from siskindale.pool.tables import RequestRow, Tables
 
 # Stages without an effect unless a later stage follows; none follows after the deadline.
 NO_EFFECT_STAGES = frozenset({Stage.KEY_INSERT, Stage.SCHEMA, Stage.BEGIN})
--- a/siskindale/pool/engine.py
+++ b/siskindale/pool/engine.py
@@ -18,6 +18,7 @@
     RequestArrived,
     StatusCompleted,
 )
+from siskindale.pool.stages import Phase, TimerKind
 from siskindale.pool.systems import (
     acknowledgement,
     admission,
@@ -31,7 +32,7 @@
     timers,
     transactions,
 )
-from siskindale.pool.tables import GroupRow, Phase, Tables, TimerKind
+from siskindale.pool.tables import GroupRow, Tables
 from siskindale.targets.interface import TargetFailure
 
 MAX_GROUP_PASSES = 8
--- a/siskindale/pool/metrics.py
+++ b/siskindale/pool/metrics.py
@@ -6,7 +6,8 @@
 from prometheus_client import Counter, Gauge, Histogram
 
 from siskindale.pool.effects import Reply
-from siskindale.pool.tables import QueueKind, Tables
+from siskindale.pool.stages import QueueKind
+from siskindale.pool.tables import Tables
 
 BUCKETS = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
 
--- a/siskindale/pool/systems/acknowledgement.py
+++ b/siskindale/pool/systems/acknowledgement.py
@@ -10,16 +10,9 @@
 
 from siskindale.models.group import Role, majority
 from siskindale.pool.effects import Effect, RequestStatus, WaitForPosition
+from siskindale.pool.stages import Phase, Stage, TimerKind
 from siskindale.pool.systems import timers
-from siskindale.pool.tables import (
-    GroupRow,
-    Phase,
-    RequestRow,
-    Stage,
-    Tables,
-    TargetRow,
-    TimerKind,
-)
+from siskindale.pool.tables import GroupRow, RequestRow, Tables, TargetRow
 
 # One probe confirms all reads of this interval; more probes would cost more than the reads.
 PROBE_SPACING_S = 0.002
--- a/siskindale/pool/systems/admission.py
+++ b/siskindale/pool/systems/admission.py
@@ -4,6 +4,7 @@
 from siskindale.models.wire import BeginRequest, StatementRequest
 from siskindale.pool import answers
 from siskindale.pool.effects import Effect
+from siskindale.pool.stages import Phase, QueueKind, Stage, TimerKind
 from siskindale.pool.systems import (
     batches,
     connections,
@@ -12,17 +13,7 @@
     routing,
     timers,
 )
-from siskindale.pool.tables import (
-    GroupRow,
-    Phase,
-    QueueKind,
-    QueueRow,
-    RequestRow,
-    Stage,
-    Tables,
-    TargetRow,
-    TimerKind,
-)
+from siskindale.pool.tables import GroupRow, QueueRow, RequestRow, Tables, TargetRow
 
 MAX_RETRIES = 5
 MAX_RETRY_TOKENS = 50.0
--- a/siskindale/pool/systems/batches.py
+++ b/siskindale/pool/systems/batches.py
@@ -2,8 +2,9 @@
 
 from siskindale.models.wire import BeginRequest, StatementRequest, TransactionStatement
 from siskindale.pool.effects import Effect, RunBatch
+from siskindale.pool.stages import Phase, Stage
 from siskindale.pool.systems import connections, idempotency
-from siskindale.pool.tables import ConnectionRow, Phase, RequestRow, Stage, Tables
+from siskindale.pool.tables import ConnectionRow, RequestRow, Tables
 from siskindale.targets.interface import Begin, Commit, Rollback, Statement, Step
 
 MIN_TIMEOUT_S = 0.001
--- a/siskindale/pool/systems/completion.py
+++ b/siskindale/pool/systems/completion.py
@@ -8,6 +8,7 @@
 from siskindale.models.wire import StatementRequest
 from siskindale.pool import answers, results
 from siskindale.pool.effects import BatchCompleted, Effect
+from siskindale.pool.stages import Phase, Stage
 from siskindale.pool.systems import (
     acknowledgement,
     admission,
@@ -20,13 +21,7 @@
     ordering,
     transactions,
 )
-from siskindale.pool.tables import (
-    GroupRow,
-    Phase,
-    RequestRow,
-    Stage,
-    Tables,
-)
+from siskindale.pool.tables import GroupRow, RequestRow, Tables
 from siskindale.targets.interface import BatchResult
 
 StageHandler = Callable[[Tables, RequestRow, float], list[Effect]]
--- a/siskindale/pool/systems/connections.py
+++ b/siskindale/pool/systems/connections.py
@@ -10,16 +10,9 @@
     Effect,
     OpenConnection,
 )
+from siskindale.pool.stages import QueueKind, TimerKind
 from siskindale.pool.systems import timers
-from siskindale.pool.tables import (
-    ConnectionRow,
-    GroupRow,
-    QueueKind,
-    RequestRow,
-    Tables,
-    TargetRow,
-    TimerKind,
-)
+from siskindale.pool.tables import ConnectionRow, GroupRow, RequestRow, Tables, TargetRow
 from siskindale.targets.interface import TargetFailure
 
 MAX_OPENING_CONNECTIONS = 4
--- a/siskindale/pool/systems/discovery.py
+++ b/siskindale/pool/systems/discovery.py
@@ -7,16 +7,15 @@
 from siskindale.models.bundle import Group, TargetState
 from siskindale.models.group import Role, TargetStatus, majority
 from siskindale.pool.effects import Effect, ReportUnreachablePrimary, RequestStatus, StatusCompleted
+from siskindale.pool.stages import QueueKind, TimerKind
 from siskindale.pool.systems import acknowledgement, connections, freshness, timers
 from siskindale.pool.tables import (
     GroupRow,
     PendingSampleRow,
-    QueueKind,
     QueueRow,
     RequestRow,
     Tables,
     TargetRow,
-    TimerKind,
 )
 
 # Can be long, because controllers announce a new primary and slow batches shorten the interval.
--- a/siskindale/pool/systems/failure.py
+++ b/siskindale/pool/systems/failure.py
@@ -3,8 +3,9 @@
 from siskindale.models.outcomes import RefusalKind
 from siskindale.pool import answers
 from siskindale.pool.effects import Effect
+from siskindale.pool.stages import Phase, Stage
 from siskindale.pool.systems import admission, connections, discovery, idempotency, transactions
-from siskindale.pool.tables import Phase, RequestRow, Stage, Tables
+from siskindale.pool.tables import RequestRow, Tables
 from siskindale.targets.interface import TargetError, TargetFailure
 
 ROLE_RETRY_S = 0.02
--- a/siskindale/pool/systems/intake.py
+++ b/siskindale/pool/systems/intake.py
@@ -10,6 +10,7 @@
 )
 from siskindale.pool import answers
 from siskindale.pool.effects import Effect, Reply, RequestArrived
+from siskindale.pool.stages import Phase, Stage, TimerKind
 from siskindale.pool.systems import (
     admission,
     batches,
@@ -20,14 +21,7 @@
     timers,
     transactions,
 )
-from siskindale.pool.tables import (
-    GroupRow,
-    Phase,
-    RequestRow,
-    Stage,
-    Tables,
-    TimerKind,
-)
+from siskindale.pool.tables import GroupRow, RequestRow, Tables
 
 RefusalReason = tuple[RefusalKind, str]
 CALLER_LIMIT_RETRY_MS = 100
--- a/siskindale/pool/systems/ordering.py
+++ b/siskindale/pool/systems/ordering.py
@@ -11,7 +11,8 @@
 from collections import deque
 
 from siskindale.models.wire import StatementRequest
-from siskindale.pool.tables import GroupRow, QueueRow, RequestRow, Stage, Tables
+from siskindale.pool.stages import Stage
+from siskindale.pool.tables import GroupRow, QueueRow, RequestRow, Tables
 
 RECENT_RUNS = 10
 COST_FACTOR = 10.0
--- a/siskindale/pool/systems/pruning.py
+++ b/siskindale/pool/systems/pruning.py
@@ -2,8 +2,9 @@
 
 from siskindale.models.wire import StatementRequest
 from siskindale.pool.effects import Effect
+from siskindale.pool.stages import Stage
 from siskindale.pool.systems import batches, connections, idempotency, routing
-from siskindale.pool.tables import GroupRow, RequestRow, Stage, Tables
+from siskindale.pool.tables import GroupRow, RequestRow, Tables
 
 PRUNE_TIMEOUT_S = 1.0
 
--- a/siskindale/pool/systems/timers.py
+++ b/siskindale/pool/systems/timers.py
@@ -3,7 +3,8 @@
 import heapq
 from typing import Any
 
-from siskindale.pool.tables import Tables, TimerKind
+from siskindale.pool.stages import TimerKind
+from siskindale.pool.tables import Tables
 
 
 def schedule(tables: Tables, due: float, kind: TimerKind, subject: Any) -> None:
--- a/siskindale/pool/systems/transactions.py
+++ b/siskindale/pool/systems/transactions.py
@@ -5,14 +5,9 @@
 from siskindale.models.wire import Answer, FinishRequest, TransactionStatement
 from siskindale.pool import answers
 from siskindale.pool.effects import Effect
+from siskindale.pool.stages import Stage, TimerKind
 from siskindale.pool.systems import connections, timers
-from siskindale.pool.tables import (
-    RequestRow,
-    Stage,
-    Tables,
-    TimerKind,
-    TransactionRow,
-)
+from siskindale.pool.tables import RequestRow, Tables, TransactionRow
 
 TransactionRequest = TransactionStatement | FinishRequest
 
--- a/siskindale/pool/tables.py
+++ b/siskindale/pool/tables.py
@@ -1,6 +1,5 @@
 """In-memory tables of the pool: attrs classes that hold its state and make no decisions."""
 
-import enum
 import math
 from collections import deque
 from typing import Any
@@ -17,57 +16,12 @@
     StatementResult,
     TransactionStatement,
 )
+from siskindale.pool.stages import QUEUE_KIND_BY_STAGE, Phase, QueueKind, Stage, TimerKind
 from siskindale.targets.interface import BatchResult
 
 RequestBody = StatementRequest | BeginRequest | TransactionStatement | FinishRequest
 
 
-class QueueKind(enum.Enum):
-    """Queue that a request waits in.
-
-    Reads and writes at the primary wait separately, as a write may be blocked by locks that do not
-    affect a read.
-    """
-
-    READ = "read"
-    WRITE = "write"
-    REPLICA = "replica"
-
-
-class Stage(enum.Enum):
-    """Batch that a request is running or runs next."""
-
-    READ = "read"
-    REPLICA_READ = "replica-read"
-    WRITE = "write"
-    KEY_INSERT = "key-insert"
-    KEY_RECORD = "key-record"
-    KEY_LOOKUP = "key-lookup"
-    SCHEMA = "schema"
-    BEGIN = "begin"
-    TRANSACTION_STATEMENT = "transaction-statement"
-    COMMIT = "commit"
-    ROLLBACK = "rollback"
-    PRUNE = "prune"
-
-
-QUEUE_KIND_BY_STAGE = {
-    Stage.READ: QueueKind.READ,
-    Stage.KEY_LOOKUP: QueueKind.READ,
-    Stage.REPLICA_READ: QueueKind.REPLICA,
-}
-
-
-class Phase(enum.Enum):
-    """Progress of a request."""
-
-    QUEUED = "queued"
-    RUNNING = "running"
-    CONFIRMING = "confirming"
-    WAITING = "waiting"
-    ENDED = "ended"
-
-
 @attrs.define(eq=False)
 class ConnectionRow:
     """Data connection to a target.
@@ -294,17 +248,6 @@
         return LogPosition()
 
 
-class TimerKind(enum.Enum):
-    """Action of a timer when it is due."""
-
-    DEADLINE = "deadline"
-    RETRY = "retry"
-    TRANSACTION = "transaction"
-    CONFIRM = "confirm"
-    POLL = "poll"
-    OPEN = "open"
-
-
 @attrs.define(eq=False)
 class Tables:
     """All tables of a pool.
--- a/tests/pool/test_decisions.py
+++ b/tests/pool/test_decisions.py
@@ -11,9 +11,10 @@
     DirectoryChanged,
     RequestArrived,
 )
+from siskindale.pool.stages import Phase
 from siskindale.pool.systems import acknowledgement, admission, connections, discovery, freshness
 from siskindale.pool.systems import idempotency as keyed
-from siskindale.pool.tables import Phase, QueueRow
+from siskindale.pool.tables import QueueRow
 from siskindale.targets.interface import TargetError, TargetFailure
 from tests.pool.oracle import SentRequest
 from tests.pool.world import CLASSES, TargetCall, World
--- a/tests/pool/test_faults.py
+++ b/tests/pool/test_faults.py
@@ -9,8 +9,9 @@
 from siskindale.models.outcomes import Outcome, RefusalKind
 from siskindale.pool import answers
 from siskindale.pool.effects import RunBatch
+from siskindale.pool.stages import Stage
 from siskindale.pool.systems import acknowledgement, connections, failure, freshness, intake
-from siskindale.pool.tables import RequestRow, Stage
+from siskindale.pool.tables import RequestRow
 from tests.pool.oracle import ViolationError
 from tests.pool.world import TargetCall, World
 
--- a/tests/pool/test_ordering.py
+++ b/tests/pool/test_ordering.py
@@ -3,8 +3,9 @@
 import attrs
 import pytest
 
+from siskindale.pool.stages import Stage
 from siskindale.pool.systems import ordering
-from siskindale.pool.tables import QueueRow, RequestRow, Stage, Tables
+from siskindale.pool.tables import QueueRow, RequestRow, Tables
 from tests.pool.world import CLASSES, World
 
 LONG_S = 0.2
