Split which groups a pool serves from the discovery of their primaries

The groups that a pool serves, with their targets, shares and queues, are in pool/systems/serving.py; the poll of targets drops a substitute's group by one call there. No test went through that call, as a missing import showed during the move, so one was added.

--- a/siskindale/pool/engine.py
+++ b/siskindale/pool/engine.py
@@ -29,6 +29,7 @@
     freshness,
     intake,
     pruning,
+    serving,
     timers,
     transactions,
 )
@@ -149,7 +150,7 @@
     tables.group_definitions = {group.name: group for group in bundle.groups}
     tables.classes = {entry.name: entry for entry in bundle.classes}
     tables.caller_limits = {caller.name: caller.max_in_flight for caller in bundle.callers}
-    discovery.update_groups(tables, now)
+    serving.update_groups(tables, now)
     return []
 
 
@@ -158,7 +159,7 @@
 ) -> list[Effect]:
     tables.ranks, tables.leaving = event.ranks, event.leaving
     if tables.bundle is not None:
-        discovery.update_groups(tables, now)
+        serving.update_groups(tables, now)
     return []
 
 
--- a/siskindale/pool/systems/intake.py
+++ b/siskindale/pool/systems/intake.py
@@ -14,10 +14,10 @@
 from siskindale.pool.systems import (
     admission,
     batches,
-    discovery,
     expiry,
     freshness,
     idempotency,
+    serving,
     timers,
     transactions,
 )
@@ -114,10 +114,10 @@
         return row
     if not body.excluded_pools:
         return None
-    rank = discovery.own_rank(tables, body.group, body.excluded_pools)
+    rank = serving.own_rank(tables, body.group, body.excluded_pools)
     if rank is None or rank >= tables.bundle.pools_per_group:
         return None
-    return discovery.serve_as_substitute(tables, tables.group_definitions[body.group], rank, now)
+    return serving.serve_as_substitute(tables, tables.group_definitions[body.group], rank, now)
 
 
 def _over_caller_limit(tables: Tables, caller: str) -> bool:
--- a/tests/pool/test_decisions.py
+++ b/tests/pool/test_decisions.py
@@ -335,3 +335,16 @@
     tables.mark_dirty(tables.groups["g"])
     world.tick(0)
     assert busy and list(tables.connections.values()) == busy
+
+
+def test_a_substitute_drops_the_group_after_its_time(world: World) -> None:
+    """Guards against connections that a substitute keeps from the pools that serve the group."""
+    tables = world.pools[0]
+    group = tables.groups["g"]
+    group.rank = None
+    group.substitute_rank, group.substitute_until = 0, world.now + 1.0
+    world.advance(0.5)
+    assert "g" in tables.groups
+    world.advance(3.0)
+    assert "g" not in tables.groups
+    assert group.dropped
