Identify callers by key and run statements in their workspace's name

The key of a client's START was dropped and each connection to a target was started under one fixed name. The catalog now has workspaces with keys; each statement is checked against the catalog in force and its age; connections serve one workspace each, and its statements go to a home among the owners, so that its connections are used again. Without workspaces in the configuration nothing changes.

--- a/siskindale/models/forwarding.py
+++ b/siskindale/models/forwarding.py
@@ -26,24 +26,29 @@
 @message("forward-statement")
 @attrs.frozen
 class ForwardedStatement:
-    """A statement outside a transaction, which arrived at the sender `elapsed_s` ago."""
+    """A statement outside a transaction, which arrived at the sender `elapsed_s` ago.
+
+    The sender has checked the key of its client, which belongs to `workspace`.
+    """
 
     statement: Statement
     route: Route
     session: SessionSnapshot
     elapsed_s: float
+    workspace: str = ""
 
 
 @message("forward-begin")
 @attrs.frozen
 class ForwardedBegin:
-    """Begins a transaction, for which the sender uses `handle` on this link."""
+    """Begins a transaction of `workspace`, for which the sender uses `handle` on this link."""
 
     handle: int
     read_only: bool
     route: Route
     session: SessionSnapshot
     request_id: bytes
+    workspace: str = ""
 
 
 @message("forward-step")
--- a/siskindale/models/vm.py
+++ b/siskindale/models/vm.py
@@ -13,7 +13,9 @@
     few peers, which may be outdated. `processor_share` of each of `cores` processors is available.
     A new catalog must be in effect `catalog_apply_s` after the operator has set it. `drain_s` is
     how long a target serves after it was reported as leaving, `grace_s` the time between SIGTERM
-    and SIGKILL.
+    and SIGKILL. A key that a catalog has taken away may be used for `revoke_s`, with
+    `strict_revoke` also by a VM that has not heard of it. In each `quota_window_s` a workspace may
+    exceed its quota by the share `quota_overage` and by `quota_slack` operations.
     """
 
     vm: str
@@ -32,6 +34,11 @@
     catalog_apply_s: float = 3.0
     processor_share: float = 1.0
     cores: int = 1
+    strict_revoke: bool = False
+    revoke_s: float = 5.0
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
     @property
     def capacity(self) -> float:
--- a/siskindale/platform/entries.py
+++ b/siskindale/platform/entries.py
@@ -1,7 +1,8 @@
 """Entries of the platform's store: the operator's configuration and the targets' registrations.
 
 Some names on the wire differ from those of the product: `service` is a group, `zone` a failure
-domain, `host` in a route the name of a database, and `born` the time at which a target started.
+domain, `tenants` are workspaces, `host` in a route the name of a database, and `born` the time at
+which a target started.
 """
 
 from collections.abc import Mapping
@@ -17,6 +18,7 @@
     RegistrationState,
     Route,
     TargetRegistration,
+    Workspace,
 )
 from siskindale.models.group import Role
 
@@ -39,12 +41,15 @@
         routes = [_decode_route(raw) for raw in value["routes"]]
         groups = {raw["name"]: _decode_group_limits(raw) for raw in value["services"]}
         limits = value.get("limits") or {}
+        problems: list[str] = []
         return Success(
             Catalog(
                 version=int(value["version"]),
                 routes={route.database: route for route in routes},
                 groups=groups,
                 transaction_idle_s=limits.get("tx_idle_ms", 3000) / 1000,
+                workspaces=_decode_workspaces(value.get("tenants"), problems),
+                problems=tuple(problems),
             )
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -63,6 +68,36 @@
         objective_s=raw["target_latency_ms"] / 1000,
         priority=raw["priority"],
         max_staleness_s=raw.get("max_staleness_ms", 0) / 1000,
+        anonymous=bool(raw.get("anonymous", False)),
+    )
+
+
+def _decode_workspaces(raws: Any, problems: list[str]) -> dict[str, Workspace] | None:
+    """Decodes the workspaces; an invalid one is added to `problems` and must not lose the others.
+
+    Returns None where the configuration has no list of them.
+    """
+    if not isinstance(raws, list):
+        return None
+    workspaces: dict[str, Workspace] = {}
+    for index, raw in enumerate(raws):
+        try:
+            workspace = _decode_workspace(raw)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            problems.append(f"workspace {index}: {type(error).__name__}: {error}")
+        else:
+            workspaces[workspace.name] = workspace
+    return workspaces
+
+
+def _decode_workspace(raw: Mapping[str, Any]) -> Workspace:
+    rate = raw.get("rate_per_s")
+    return Workspace(
+        name=str(raw["name"]),
+        keys=frozenset(map(str, raw["api_keys"])),
+        priority=int(raw.get("priority", 0)),
+        rate_per_s=None if rate is None else float(rate),
+        burst=float(raw.get("burst", 0)),
     )
 
 
--- a/siskindale/platform/wire.py
+++ b/siskindale/platform/wire.py
@@ -6,6 +6,7 @@
 the log position that the target must have reached to run the statement.
 """
 
+import attrs
 from gevent import socket
 
 from siskindale.models.group import LogPosition
@@ -24,6 +25,8 @@
 # Stands for an absent position or receipt, and is the request id of statements of the proxy itself.
 ABSENT = b"-"
 CLOSE = b"CLOSE\r\n"
+# Stands for the workspace on connections that serve no particular one.
+_NO_WORKSPACE = "siskindale"
 
 _ERROR_CODES = {
     b"BUSY": ErrorCode.OVERLOADED,
@@ -85,15 +88,23 @@
             self._buffer += data
 
 
-def decode_start(line: bytes) -> str:
-    """Decodes the first message of a client; returns the database that it asks for."""
-    words = line.split(b" ")
+@attrs.frozen
+class ClientStart:
+    """First message of a client: the database that it asks for, and its key."""
+
+    database: str
+    key: str
+
+
+def decode_start(line: bytes) -> ClientStart:
+    """Decodes the first message of a client."""
+    words = line.split(b" ", 2)
     if len(words) < 3 or words[0] != b"START":
         raise ProtocolError("expected START")
     try:
-        return words[1].decode("ascii")
+        return ClientStart(words[1].decode("ascii"), words[2].decode("ascii"))
     except UnicodeDecodeError as error:
-        raise ProtocolError("database name is not ASCII") from error
+        raise ProtocolError("database name or key is not ASCII") from error
 
 
 def decode_request(line: bytes) -> Statement | None:
@@ -159,9 +170,12 @@
     return ABSENT if position is None else b"%d.%d" % (position.term, position.position)
 
 
-def encode_start(group: str, target_id: str) -> bytes:
-    """Returns the first message to a target, which refuses one for another group or id."""
-    return f"START {group} siskindale {target_id}\r\n".encode("ascii")
+def encode_start(group: str, target_id: str, workspace: str = "") -> bytes:
+    """Returns the first message to a target, which refuses one for another group or id.
+
+    All statements of the connection run in the name of `workspace`.
+    """
+    return f"START {group} {workspace or _NO_WORKSPACE} {target_id}\r\n".encode("ascii")
 
 
 def encode_statement(
--- a/siskindale/proxy/connection.py
+++ b/siskindale/proxy/connection.py
@@ -52,7 +52,11 @@
 
 @attrs.define(eq=False)
 class TargetConnection:
-    """A connection to `target`, used by one statement at a time."""
+    """A connection to `target`, used by one statement at a time.
+
+    All of its statements run in the name of `workspace`. While it is `resting`, it is in use by a
+    transaction that waits for its client.
+    """
 
     target: Target
     _socket: socket.socket
@@ -62,9 +66,12 @@
     state: SessionState = SessionState.IDLE
     closed: bool = False
     outstanding_replies: int = 0
+    workspace: str = ""
+    in_use: bool = False
+    resting: bool = False
 
     @classmethod
-    def open(cls, target: Target) -> "TargetConnection":
+    def open(cls, target: Target, workspace: str = "") -> "TargetConnection":
         """Opens a connection.
 
         Raises `ConnectRefusedError` or `ConnectTimeoutError` where nothing answers at the address,
@@ -81,7 +88,7 @@
         sock.setsockopt(
             system_socket.IPPROTO_TCP, system_socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
-        connection = cls(target, sock, wire.LineReader(sock))
+        connection = cls(target, sock, wire.LineReader(sock), workspace=workspace)
         try:
             connection._start()
         except BaseException:
@@ -101,10 +108,20 @@
         self.closed = True
         self._socket.close()
 
+    def rest(self) -> None:
+        """Records that its transaction waits for the client."""
+        self.resting = True
+        self.target.idle_transaction_count += 1
+
+    def resume(self) -> None:
+        """Records that its transaction runs a statement again, or ends."""
+        self.resting = False
+        self.target.idle_transaction_count -= 1
+
     def _start(self) -> None:
         entry = self.target.entry
         self._socket.settimeout(START_TIMEOUT_S)
-        self._socket.sendall(wire.encode_start(entry.group, entry.id))
+        self._socket.sendall(wire.encode_start(entry.group, entry.id, self.workspace))
         reply = wire.read_start_reply(self._reader)
         if reply.error is not None:
             raise StartRefusedError(reply)
--- a/siskindale/proxy/decisions/connections.py
+++ b/siskindale/proxy/decisions/connections.py
@@ -68,11 +68,16 @@
 def surplus_idle_count(
     target: Target, group: Group, now: float, minimum: int = MIN_OPEN_CONNECTIONS
 ) -> int:
-    """Returns the number of idle connections to close, so that `minimum` stay open."""
+    """Returns the number of idle connections to close, so that `minimum` stay open.
+
+    Connections that serve a single workspace are left to `bound_connections`.
+    """
     if target.closed or (target.leaving and target.id != group.leadership.primary_id):
         return len(target.idle_connections)
     idle_limit = 0.0 if now < target.yield_until else SURPLUS_IDLE_TIMEOUT_S
     long_idle = sum(
-        now - connection.used_at >= idle_limit for connection in target.idle_connections
+        now - connection.used_at >= idle_limit
+        for connection in target.idle_connections
+        if not connection.workspace
     )
     return max(0, min(long_idle, target.open_count - minimum))
--- a/siskindale/proxy/decisions/ownership.py
+++ b/siskindale/proxy/decisions/ownership.py
@@ -60,6 +60,16 @@
     return sorted(candidates, key=lambda member: member.failure_domain != own_domain)
 
 
+def home_order(group: str, workspace: str, owners: Iterable[MemberFact]) -> list[MemberFact]:
+    """Returns owners in the order in which they serve a workspace; the first is its home.
+
+    A connection serves one workspace, so spreading a workspace over all owners would need that many
+    times its connections.
+    """
+    key = f"{group}\x00{workspace}"
+    return sorted(owners, key=lambda member: (_score(key, member), member.vm))
+
+
 def _group_by_domain(members: Iterable[MemberFact]) -> dict[str, list[MemberFact]]:
     by_domain: dict[str, list[MemberFact]] = {}
     for member in members:
--- a/siskindale/proxy/decisions/placement.py
+++ b/siskindale/proxy/decisions/placement.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 
+from siskindale.membership.rendezvous import rendezvous_score
 from siskindale.proxy.decisions import lag
 from siskindale.proxy.tables import INITIAL_LATENCY_S, Group, Need, Target
 
@@ -14,6 +15,9 @@
 REMOTE_PENALTY_S = 0.02
 # Favours replicas for reads that they can serve, because only the primary can serve writes.
 PRIMARY_PENALTY_S = 0.008
+# Opening a connection takes a slot for 12 ms and may close one that another workspace needs.
+UNBOUND_PENALTY_S = 0.015
+RENDEZVOUS_RANGE = 1 << 64
 # The measured latency of a target decays to the initial estimate, so that a slow target is tried
 # again.
 LATENCY_HALF_LIFE_S = 2.0
@@ -46,7 +50,12 @@
     current = [
         target for target in usable if lag.may_have_position(group, target, need.min_position, now)
     ]
-    return sorted(current or usable, key=lambda target: _cost(group, target, own_domain, now))
+    return sorted(
+        current or usable,
+        key=lambda target: (
+            _cost(group, target, own_domain, now) + _affinity_cost(target, need.workspace)
+        ),
+    )
 
 
 def _may_run(group: Group, target: Target, need: Need, now: float, drain_s: float) -> bool:
@@ -68,6 +77,14 @@
     return cost
 
 
+def _affinity_cost(target: Target, workspace: str) -> float:
+    """Returns what it costs that a workspace has no connection to a target yet."""
+    if not workspace or target.connections_of(workspace):
+        return 0.0
+    share = rendezvous_score(workspace, target.id) / RENDEZVOUS_RANGE
+    return UNBOUND_PENALTY_S * (1 + share)
+
+
 def expected_latency(target: Target, now: float) -> float:
     """Returns the expected duration of a statement in seconds."""
     decay = 0.5 ** max(0.0, (now - target.latency_measured_at) / LATENCY_HALF_LIFE_S)
--- a/siskindale/proxy/decisions/waiting.py
+++ b/siskindale/proxy/decisions/waiting.py
@@ -39,10 +39,16 @@
 def queue_bypass(waiters: Sequence[Waiter], need: Need) -> QueueBypass:
     """Decides whether a new statement must wait behind those that wait already.
 
+    A connection that serves one workspace would not help the statements of others that wait.
+
     While the primary is lost or has no free connection, statements that wait for it must not block
     reads that replicas can serve.
     """
-    queued_before = [waiter for waiter in waiters if waiter.need.priority <= need.priority]
+    queued_before = [
+        waiter
+        for waiter in waiters
+        if waiter.need.priority <= need.priority and waiter.need.workspace == need.workspace
+    ]
     if not queued_before:
         return QueueBypass(allowed=True)
     if need.primary_only or any(not waiter.need.primary_only for waiter in queued_before):
--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -18,6 +18,8 @@
 # this long before a configuration has to be in effect. Longer waits cost fewer calls.
 CATALOG_RESERVE_S = 1.0
 TIMEOUT_RETRY_S = 0.05
+# With an older confirmation, such as after a pause of this VM, the store is asked without a wait.
+CONFIRMED_AGE_S = 0.5
 # Each read has a cost, so a VM reads only at this interval, and VMs notify each other of changes.
 # A VM that gets no notice still learns of a draining target within the time for which it serves.
 TARGETS_INTERVAL_S = 5.0
@@ -42,23 +44,33 @@
         self._wait_s = wait_s
         self._version = NO_VERSION
         self._available: bool | None = None
+        self._waited_s = 0.0
+
+    @property
+    def waited_s(self) -> float:
+        """How long the store waited at the last call before it could answer without changes."""
+        return self._waited_s
 
     @property
     def available(self) -> bool:
         """Whether the last call succeeded."""
         return bool(self._available)
 
-    def next_changes(self) -> Result[tuple[Changes, bool], PlatformError]:
-        """Returns changes, and whether they are a snapshot of the complete table."""
+    def next_changes(self, wait: bool = True) -> Result[tuple[Changes, bool], PlatformError]:
+        """Returns changes, and whether they are a snapshot of the complete table.
+
+        Without `wait` the store answers at once, also if nothing has changed.
+        """
+        self._waited_s = 0.0
         if self._version != NO_VERSION:
             # After an outage, the store is asked at once whether it still has the same history.
-            wait_s = self._wait_s if self.available else 0.0
+            wait_s = self._waited_s = self._wait_s if self.available and wait else 0.0
             watched = self._tables.watch(self._table, self._version, wait_s)
             if not _lost_history(watched):
                 return self._finish(watched).map(lambda changes: (changes, False))
             self._count(watched)
             logger().info("history-lost", table=self._table, version=self._version)
-            self._version = NO_VERSION
+            self._version, self._waited_s = NO_VERSION, 0.0
         found = self._tables.snapshot(self._table)
         return self._finish(found).map(lambda changes: (changes, True))
 
@@ -86,7 +98,10 @@
 
 def catalog_wait(settings: ProxySettings) -> float:
     """Returns the seconds for which a watch of the catalog waits."""
-    return max(CATALOG_RESERVE_S, settings.catalog_apply_s - CATALOG_RESERVE_S)
+    limit_s = settings.catalog_apply_s
+    if settings.strict_revoke:
+        limit_s = min(limit_s, settings.revoke_s)
+    return max(CATALOG_RESERVE_S, limit_s - CATALOG_RESERVE_S)
 
 
 class CatalogFollower:
@@ -102,6 +117,7 @@
         self._follower = TableFollower(tables, CATALOG_TABLE, catalog_wait(settings))
         self._state = state
         self._notify_peers = notify_peers
+        self._stored_version = 0
 
     def run(self) -> None:
         """Follows until it is killed."""
@@ -111,17 +127,28 @@
     def _follow_once(self) -> float:
         """Waits for changes and applies them; returns the seconds to wait before the next call."""
         was_available = self._follower.available
-        answer = self._follower.next_changes()
+        asked_at = self._state.now()
+        answer = self._follower.next_changes(wait=not self._needs_confirmation())
         if isinstance(answer, Failure):
             kind = answer.failure().kind
             return _FIRST_RETRY_S.get(kind, RETRY_S) if was_available else RETRY_S
         changes, _ = answer.unwrap()
-        rows = (row for row in changes.rows if row.key == CATALOG_KEY and not row.deleted)
+        rows = [row for row in changes.rows if row.key == CATALOG_KEY and not row.deleted]
         adopted = [self._state.adopt_catalog(row.value, "store") for row in rows]
         if any(adopted):
             self._notify_peers()
+        if rows:
+            self._stored_version = int(rows[-1].value.get("version", 0))
+        # A watch without changes is answered only after its wait.
+        waited_s = 0.0 if changes.rows else self._follower.waited_s
+        confirmed_at = min(self._state.now(), asked_at + waited_s)
+        self._state.confirm_catalog(self._stored_version, confirmed_at)
         return 0.0
 
+    def _needs_confirmation(self) -> bool:
+        """Returns whether keys would be refused before a watch that waits is answered."""
+        return self._state.has_workspaces and self._state.catalog_age_s > CONFIRMED_AGE_S
+
 
 class TargetsFollower:
     """Applies changes of registrations, and removes targets whose registration stays missing.
--- a/siskindale/proxy/forwarding.py
+++ b/siskindale/proxy/forwarding.py
@@ -69,9 +69,13 @@
         self._ownership = ownership
         self._links = links
 
-    def link(self, group: Group, excluded: set[str]) -> tuple[MemberFact, Link] | None:
+    def link(
+        self, group: Group, workspace: str, excluded: set[str]
+    ) -> tuple[MemberFact, Link] | None:
         """Returns the best owner that can be reached and a link to it, None if there is none."""
-        candidates = [m for m in self._ownership.candidates(group) if m.vm not in excluded]
+        candidates = [
+            m for m in self._ownership.candidates(group, workspace) if m.vm not in excluded
+        ]
         reachable = [m for m in candidates if not self._links.avoided(m.forwarding)]
         for member in reachable or candidates:
             try:
@@ -96,7 +100,7 @@
         """Forwards a statement until it has a reply or its deadline has passed."""
         excluded: set[str] = set()
         while (remaining_s := execution.deadline - self._state.now()) > REPLY_RESERVE_S:
-            found = self._selector.link(execution.group, excluded)
+            found = self._selector.link(execution.group, execution.workspace, excluded)
             if found is None:
                 excluded.clear()
                 gevent.sleep(min(NO_OWNER_RETRY_S, remaining_s))
@@ -124,6 +128,7 @@
             execution.route,
             snapshot(values, execution.session_position),
             self._state.now() - execution.arrived_at,
+            execution.workspace,
         )
         metrics.FORWARDED.labels("statement").inc()
         try:
@@ -253,7 +258,7 @@
         excluded: set[str] = set()
         deadline = self._state.now() + transaction.route.timeout_s
         while transaction.link is None and self._state.now() < deadline:
-            found = self._selector.link(transaction.group, excluded)
+            found = self._selector.link(transaction.group, transaction.workspace, excluded)
             if found is None:
                 excluded.clear()
                 gevent.sleep(NO_OWNER_RETRY_S)
@@ -266,6 +271,7 @@
                 transaction.route,
                 snapshot(values, position),
                 transaction.begin_request_id,
+                transaction.workspace,
             )
             try:
                 link.notify(message)
--- a/siskindale/proxy/metrics.py
+++ b/siskindale/proxy/metrics.py
@@ -34,3 +34,11 @@
 DATAGRAMS = Metric("siskindale_member_datagrams", "Datagrams of the membership", ("direction",))
 FORWARDED = Metric("siskindale_forwarded", "Messages forwarded to owners", ("kind",))
 LINKS_OPENED = Metric("siskindale_links_opened", "Links to owners that were opened").labels()
+CONNECTIONS_REPLACED = Metric(
+    "siskindale_connections_replaced", "Connections of a workspace closed for another workspace"
+).labels()
+CALLERS_REFUSED = Metric(
+    "siskindale_callers_refused",
+    "Statements refused by key, age of the catalog or quota",
+    ("reason",),
+)
--- a/siskindale/proxy/owner.py
+++ b/siskindale/proxy/owner.py
@@ -139,6 +139,7 @@
             access,
             body.session.position,
             REPLY_RESERVE_S,
+            workspace=body.workspace,
         )
         self._reply(number, self._statements.run(execution, values))
 
@@ -155,7 +156,9 @@
         if group is None:
             return
         now = self._state.now()
-        transaction = Transaction(body.read_only, body.route, group, now, body.request_id)
+        transaction = Transaction(
+            body.read_only, body.route, group, now, body.request_id, workspace=body.workspace
+        )
         transaction.used_at = now
         self._open[body.handle] = transaction
         self._transactions.begin_in_background(
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -1,5 +1,6 @@
 """Pool of connections to targets, which client sessions share."""
 
+import itertools
 from collections.abc import Callable, Iterable
 
 import gevent
@@ -20,6 +21,7 @@
     probe_primary,
 )
 from siskindale.proxy.decisions import (
+    bound_connections,
     connections,
     idle_transactions,
     leadership,
@@ -99,6 +101,7 @@
             self.dispatch(group)
             return
         connection.used_at = self.now()
+        connection.in_use = False
         target.idle_connections.append(connection)
         self.dispatch(group)
 
@@ -128,6 +131,8 @@
         if not connection.closed:
             connection.close()
             connection.target.open_count -= 1
+            if connection.workspace:
+                connection.target.bound_connections[connection.workspace].remove(connection)
 
     def dispatch(self, group: Group) -> None:
         """Assigns idle connections to waiting statements, and opens more where needed."""
@@ -154,12 +159,21 @@
         ):
             self.discard(group, connection)
 
-    def take_idle(self, target: Target) -> TargetConnection | None:
-        """Returns an idle connection to a target, None if there is none."""
-        while target.idle_connections:
-            connection = target.idle_connections.pop()
+    def take_idle(self, target: Target, workspace: str | None = None) -> TargetConnection | None:
+        """Returns an idle connection to a target, None if there is none.
+
+        Without a `workspace` it may be of any, for statements of the proxy itself.
+        """
+        for index in reversed(range(len(target.idle_connections))):
+            connection = target.idle_connections[index]
+            if workspace is not None and connection.workspace != workspace:
+                continue
+            del target.idle_connections[index]
             if connection.reusable:
                 target.in_flight += 1
+                connection.in_use = True
+                if workspace:
+                    bound_connections.note_use(target, workspace, self.now())
                 return connection
             self.discard(self._groups[target.entry.group], connection)
         return None
@@ -174,15 +188,18 @@
                 target, connections.surplus_idle_count(target, group, now, minimum)
             ):
                 self.discard(group, connection)
+            for connection in bound_connections.expired(target, now):
+                target.idle_connections.remove(connection)
+                self.discard(group, connection)
             if target.open_count + target.opening_count < minimum and not target.opening_count:
                 self._start_opening(group, target)
         self.dispatch(group)
 
     def _remove_oldest_idle(self, target: Target, count: int) -> list[TargetConnection]:
-        removed, target.idle_connections[:] = (
-            target.idle_connections[:count],
-            target.idle_connections[count:],
-        )
+        unbound = (c for c in target.idle_connections if target.leaving or not c.workspace)
+        removed = list(itertools.islice(unbound, count))
+        for connection in removed:
+            target.idle_connections.remove(connection)
         return removed
 
     def _acquire_without_waiting(self, group: Group, waiter: Waiter) -> TargetConnection | None:
@@ -193,11 +210,17 @@
         candidates = self._candidates(group, waiter)
         if bypass.except_primary:
             candidates = [target for target in candidates if target is not group.primary]
-        return next(filter(None, map(self.take_idle, candidates)), None)
+        return self._take_idle_of(candidates, waiter)
 
     def _take_idle_for(self, group: Group, waiter: Waiter) -> TargetConnection | None:
-        candidates = self._candidates(group, waiter)
-        return next(filter(None, map(self.take_idle, candidates)), None)
+        return self._take_idle_of(self._candidates(group, waiter), waiter)
+
+    def _take_idle_of(
+        self, candidates: Iterable[Target], waiter: Waiter
+    ) -> TargetConnection | None:
+        workspace = waiter.need.workspace
+        taken = (self.take_idle(target, workspace) for target in candidates)
+        return next(filter(None, taken), None)
 
     def _candidates(self, group: Group, waiter: Waiter) -> list[Target]:
         """Returns the targets that a statement may go to now, best first."""
@@ -242,21 +265,47 @@
     def _open_for(self, group: Group, waiter: Waiter) -> None:
         now = self.now()
         candidates = self._candidates(group, waiter)
+        if waiter.need.workspace:
+            if candidates:
+                self._open_bound(group, candidates[0], waiter.need.workspace)
+            return
         vm_count = self._vm_count(group)
         openable = [t for t in candidates if connections.may_open(t, group, vm_count, now)]
         if openable and sum(t.opening_count for t in candidates) < len(group.waiters):
             self._start_opening(group, openable[0])
 
-    def _start_opening(self, group: Group, target: Target) -> None:
+    def _open_bound(self, group: Group, target: Target, workspace: str) -> None:
+        """Opens a connection for a workspace, if needed in place of another workspace's."""
+        now = self.now()
+        waiting = [w.need.workspace for w in group.waiters]
+        latency_s = placement.expected_latency(target, now)
+        if not bound_connections.needs_connection(
+            target, workspace, waiting.count(workspace), latency_s, now
+        ):
+            return
+        limit = bound_connections.connection_limit(
+            group.limits.max_connections, self._vm_count(group)
+        )
+        if target.open_count + target.opening_count >= limit:
+            replaced = bound_connections.connection_to_replace(target, waiting, now)
+            if replaced is None:
+                return
+            target.idle_connections.remove(replaced)
+            self.discard(group, replaced)
+            metrics.CONNECTIONS_REPLACED.inc()
+        self._start_opening(group, target, workspace)
+
+    def _start_opening(self, group: Group, target: Target, workspace: str = "") -> None:
         if target.closed or self.now() < target.next_open_at:
             return
         target.opening_count += 1
-        gevent.spawn(self._open, group, target)
+        target.opening_workspaces.append(workspace)
+        gevent.spawn(self._open, group, target, workspace)
 
-    def _open(self, group: Group, target: Target) -> None:
+    def _open(self, group: Group, target: Target, workspace: str) -> None:
         started_at = self.now()
         try:
-            connection = TargetConnection.open(target)
+            connection = TargetConnection.open(target, workspace)
         except ConnectRefusedError:
             self._note_unreachable(group, target, "connection refused", refused=True)
         except StartRefusedError as error:
@@ -276,6 +325,7 @@
             self._add_opened(group, connection, started_at)
         finally:
             target.opening_count -= 1
+            target.opening_workspaces.remove(workspace)
         self.dispatch(group)
 
     def _add_opened(self, group: Group, connection: TargetConnection, started_at: float) -> None:
@@ -285,6 +335,8 @@
             return
         target.open_count += 1
         target.idle_connections.append(connection)
+        if connection.workspace:
+            target.bound_connections.setdefault(connection.workspace, []).append(connection)
         leadership.note_reachable(group, target)
 
     def _note_start_refused(self, group: Group, target: Target, error: StartRefusedError) -> None:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -127,7 +127,7 @@
             StatementRunner(self._pool, router),
             TransactionRunner(self._pool, router),
             self._forwarding,
-            self._ownership.owns,
+            self._ownership.serves,
             self._directory.wait_until_settled,
         )
 
@@ -146,7 +146,7 @@
         """
         gevent.sleep(PEER_EXCHANGE_DELAY_S)
         self._wait_until_ownership_known()
-        while all(map(self._ownership.owns_everything, self._state.groups.values())):
+        while not self._forwards_any():
             gevent.sleep(FORWARDING_CHECK_INTERVAL_S)
         from siskindale.proxy.owner import ForwardingServer
 
@@ -154,6 +154,11 @@
         server.start()
         logger().info("forwarding-served", members=len(self._membership.table.serving()))
 
+    def _forwards_any(self) -> bool:
+        """Returns whether VMs forward statements: to owners, or to the homes of workspaces."""
+        owns_everything = map(self._ownership.owns_everything, self._state.groups.values())
+        return self._state.has_workspaces or not all(owns_everything)
+
     def _wait_until_ownership_known(self) -> None:
         self._directory.wait_until_settled()
         self._state.wait_for_catalog()
@@ -225,7 +230,11 @@
         self._directory.note_restored()
 
     def _vm_count(self, group: Group) -> int:
-        return self._peers.vm_count(group)
+        live_count = self._peers.vm_count(group)
+        if self._state.has_workspaces:
+            # After a restart of all VMs, an owner has not heard of the others yet.
+            return max(live_count, len(self._ownership.owners(group)))
+        return live_count
 
     def _notify_peers(self) -> None:
         self._peers.announce()
--- a/siskindale/proxy/routing.py
+++ b/siskindale/proxy/routing.py
@@ -57,6 +57,7 @@
         arrived_at: float,
         deadline: float,
         excluded: set[str],
+        workspace: str = "",
     ) -> Need:
         """Returns what a statement requires.
 
@@ -74,7 +75,7 @@
         if lacks_sample or excluded:
             deadline = min(deadline, self._pool.now() + RECONSIDER_INTERVAL_S)
         objective_at = arrived_at + route.objective_s
-        return Need(minimum, route.priority, deadline, minimum is None, objective_at)
+        return Need(minimum, route.priority, deadline, minimum is None, objective_at, workspace)
 
     def note_demoted(self, group: Group, connection: TargetConnection) -> None:
         """Records that a target is a replica, as it refused what only the primary may do."""
--- a/siskindale/proxy/runners.py
+++ b/siskindale/proxy/runners.py
@@ -26,20 +26,22 @@
 class Runners:
     """Runners of statements outside and inside transactions.
 
-    `forwarding` returns those that forward. `owns` tells whether this VM owns the connections of a
-    group, `wait_until_settled` waits until the fleet is known.
+    `forwarding` returns those that forward. `serves` tells whether this VM runs the statements of a
+    workspace in a group itself, `wait_until_settled` waits until the fleet is known.
     """
 
     statements: StatementRunner
     transactions: TransactionRunner
     forwarding: Callable[[], Forwarding]
-    owns: Callable[[Group], bool]
+    serves: Callable[[Group, str], bool]
     wait_until_settled: Callable[[float], bool]
 
-    def statements_for(self, group: Group) -> AnyStatementRunner:
+    def statements_for(self, group: Group, workspace: str) -> AnyStatementRunner:
         """Returns the runner of statements outside transactions."""
-        return self.statements if self.owns(group) else self.forwarding().statements
+        serves = self.serves(group, workspace)
+        return self.statements if serves else self.forwarding().statements
 
-    def transactions_for(self, group: Group) -> AnyTransactionRunner:
+    def transactions_for(self, group: Group, workspace: str) -> AnyTransactionRunner:
         """Returns the runner of a new transaction, which runs all of its statements."""
-        return self.transactions if self.owns(group) else self.forwarding().transactions
+        serves = self.serves(group, workspace)
+        return self.transactions if serves else self.forwarding().transactions
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -21,6 +21,7 @@
     Verb,
 )
 from siskindale.platform import wire
+from siskindale.proxy.decisions.identity import Caller
 from siskindale.proxy.decisions.outcomes import StatementKind
 from siskindale.proxy.decisions.session_state import SessionValues
 from siskindale.proxy.reporting import report_statement
@@ -62,6 +63,7 @@
         self._state = state
         self._runners = runners
         self._database = ""
+        self._key = ""
         self._values = SessionValues()
         self._position: LogPosition | None = None
         self._transaction: Transaction | None = None
@@ -119,15 +121,21 @@
             line = self._reader.read_line()
         if line is None:
             return False
-        self._database = wire.decode_start(line)
+        start = wire.decode_start(line)
+        self._database, self._key = start.database, start.key
         self._state.wait_for_catalog(CATALOG_TIMEOUT_S)
         self._runners.wait_until_settled(CATALOG_TIMEOUT_S)
         if not self._state.has_catalog:
             self._refuse_start(ErrorCode.OVERLOADED, b"no configuration yet")
             return False
-        if self._state.route(self._database) is None:
+        route = self._state.route(self._database)
+        if route is None:
             self._refuse_start(ErrorCode.UNKNOWN_DATABASE, self._database.encode())
             return False
+        caller = self._state.identify(route, self._key)
+        if caller.error is ErrorCode.UNAUTHORIZED:
+            self._refuse_start(caller.error, caller.reason.encode())
+            return False
         self._send(wire.encode_ready(SessionState.IDLE))
         return True
 
@@ -200,25 +208,54 @@
         route = self._state.route(self._database)
         if route is None:
             return Reply(error=ErrorCode.UNKNOWN_DATABASE, detail=self._database.encode())
-        group = self._state.group(route)
+        caller = self._state.identify(route, self._key)
+        if caller.error is not None:
+            return self._refuse_caller(statement, caller)
         if verb in (Verb.BEGIN, Verb.BEGIN_READ_ONLY):
-            read_only = verb is Verb.BEGIN_READ_ONLY
-            begin_request_id = statement.request_id
-            self._transaction = Transaction(read_only, route, group, arrived_at, begin_request_id)
-            self._transaction_runner = self._runners.transactions_for(group)
-            self._transaction_runner.begin_in_background(
-                self._transaction, self._values, self._position
-            )
-            return Reply(receipt=_LOCAL_RECEIPT, state=SessionState.OPEN)
-        return self._run_single(statement, route, arrived_at)
+            return self._begin(statement, route, caller.workspace, arrived_at)
+        return self._run_single(statement, route, caller.workspace, arrived_at)
+
+    def _refuse_caller(self, statement: Statement, caller: Caller) -> Reply:
+        logger().info(
+            "caller-refused",
+            request=statement.request_id.decode(errors="replace"),
+            database=self._database,
+            workspace=caller.workspace,
+            reason=caller.reason,
+            catalog_version=self._state.catalog_version,
+            catalog_age_s=round(self._state.catalog_age_s, 2),
+        )
+        return Reply(error=caller.error, detail=caller.reason.encode())
 
-    def _run_single(self, statement: Statement, route: Route, arrived_at: float) -> Reply:
+    def _begin(
+        self, statement: Statement, route: Route, workspace: str, arrived_at: float
+    ) -> Reply:
+        group = self._state.group(route)
+        self._transaction = Transaction(
+            statement.verb is Verb.BEGIN_READ_ONLY,
+            route,
+            group,
+            arrived_at,
+            statement.request_id,
+            workspace=workspace,
+        )
+        self._transaction_runner = self._runners.transactions_for(group, workspace)
+        self._transaction_runner.begin_in_background(
+            self._transaction, self._values, self._position
+        )
+        return Reply(receipt=_LOCAL_RECEIPT, state=SessionState.OPEN)
+
+    def _run_single(
+        self, statement: Statement, route: Route, workspace: str, arrived_at: float
+    ) -> Reply:
         access = self._values.access_of(statement)
         if access is None:
             return Reply(error=ErrorCode.UNKNOWN_PREPARED, detail=statement.name)
         group = self._state.group(route)
-        execution = StatementExecution(statement, route, group, arrived_at, access, self._position)
-        reply = self._runners.statements_for(group).run(execution, self._values)
+        execution = StatementExecution(
+            statement, route, group, arrived_at, access, self._position, workspace=workspace
+        )
+        reply = self._runners.statements_for(group, workspace).run(execution, self._values)
         if reply.succeeded and access is Access.WRITE:
             self._record_commit(reply)
         return reply
@@ -233,6 +270,9 @@
         assert transaction is not None
         if statement.verb is Verb.ROLLBACK:
             return self._rollback(transaction)
+        caller = self._state.identify(transaction.route, self._key)
+        if caller.error is not None:
+            return self._revoke_transaction(transaction, statement, caller)
         if statement.verb is Verb.COMMIT:
             return self._commit(transaction, statement)
         if transaction.failed:
@@ -252,6 +292,16 @@
             transaction, statement, transaction.kind_of(statement, access)
         )
 
+    def _revoke_transaction(
+        self, transaction: Transaction, statement: Statement, caller: Caller
+    ) -> Reply:
+        """Refuses a statement whose key no longer holds, and rolls its transaction back."""
+        reply = self._refuse_caller(statement, caller)
+        if statement.verb is Verb.COMMIT:
+            self._rollback(transaction)
+            return reply
+        return self._mark_failed(transaction, reply)
+
     def _reject_in_failed_transaction(
         self, transaction: Transaction, statement: Statement
     ) -> Reply:
--- a/siskindale/proxy/settings.py
+++ b/siskindale/proxy/settings.py
@@ -15,7 +15,14 @@
 
 _OPTIONAL_FIELDS = frozenset(
     {"seeds", "drain_ms", "grace_s", "metrics_port", "log_level", "processor_share", "cores"}
-) | {"catalog_apply_ms"}
+) | {
+    "catalog_apply_ms",
+    "strict_revoke",
+    "revoke_ms",
+    "quota_window_s",
+    "quota_overage",
+    "quota_slack",
+}
 _KNOWN_FIELDS = _OPTIONAL_FIELDS | {
     "vm",
     "failure_domain",
@@ -85,6 +92,11 @@
             catalog_apply_s=self._read_number("catalog_apply_ms", 3000) / 1000,
             processor_share=self._read_number("processor_share", 1.0),
             cores=int(self._read_number("cores", 1)),
+            strict_revoke=self._read_flag("strict_revoke"),
+            revoke_s=self._read_number("revoke_ms", 5000) / 1000,
+            quota_window_s=self._read_number("quota_window_s", 5),
+            quota_overage=self._read_number("quota_overage", 0),
+            quota_slack=self._read_number("quota_slack", 0),
         )
         for name in sorted(self._raw.keys() - _KNOWN_FIELDS):
             self._add_finding(name, "unknown field", f"known: {', '.join(sorted(_KNOWN_FIELDS))}")
@@ -102,6 +114,12 @@
             return float(value)
         return self._report_invalid(name, "must be a number of at least 0", default)
 
+    def _read_flag(self, name: str) -> bool:
+        value = self._raw.get(name, False)
+        if isinstance(value, bool):
+            return value
+        return self._report_invalid(name, "must be true or false", False)
+
     def _read_port(self, name: str, default: int) -> int:
         value = self._raw.get(name, default)
         if type(value) is int and 0 < value < 65536:
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -29,6 +29,7 @@
 class StatementExecution:
     """A statement outside a transaction and the progress of its attempts.
 
+    It runs in the name of `workspace`.
     `reply_reserve_s` is the time that its reply needs to the VM that forwarded it. `excluded` holds
     the ids of targets that the next attempt avoids. `position_rolled_back` is set
     once the primary itself lacked the position that a read needs: a promotion has rolled that
@@ -42,6 +43,7 @@
     access: Access
     session_position: LogPosition | None
     reply_reserve_s: float = 0.0
+    workspace: str = ""
     excluded: set[str] = attrs.field(factory=set)
     attempts: int = 0
     position_rolled_back: bool = False
@@ -115,6 +117,7 @@
             execution.arrived_at,
             execution.deadline,
             execution.excluded,
+            execution.workspace,
         )
 
     def _refuse_overloaded(self, execution: StatementExecution, error: ErrorCode) -> Reply:
@@ -123,6 +126,7 @@
             request=execution.statement.request_id.decode(errors="replace"),
             route=execution.route.name,
             group=execution.group.name,
+            workspace=execution.workspace,
             primary=execution.group.leadership.primary_id,
             waiting=len(execution.group.waiters),
             attempts=execution.attempts,
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -1,5 +1,6 @@
 """State of the session proxy: the catalog, its groups and their targets."""
 
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -7,11 +8,18 @@
 from returns.result import Failure
 
 from siskindale.context import Clock
-from siskindale.models.catalog import Catalog, RegistrationState, Route, TargetRegistration
+from siskindale.models.catalog import (
+    Catalog,
+    RegistrationState,
+    Route,
+    TargetRegistration,
+    Workspace,
+)
 from siskindale.models.vm import ProxySettings
 from siskindale.platform.entries import decode_catalog, decode_target
 from siskindale.proxy import metrics
 from siskindale.proxy.decisions import leadership
+from siskindale.proxy.decisions.identity import Caller, identify
 from siskindale.proxy.decisions.registration import is_newer
 from siskindale.proxy.pool import ConnectionPool
 from siskindale.proxy.tables import Group, Target
@@ -36,6 +44,7 @@
         self._targets_version = 0
         self._targets_known = False
         self._targets_confirmed_at: float | None = None
+        self._catalog_confirmed_at: float | None = None
         self._changes_for_peers: dict[str, Mapping[str, Any] | None] = {}
         self._catalog_loaded = Event()
         self._needs_targets: Callable[[], bool] = lambda: True
@@ -70,6 +79,17 @@
         """Time after which an idle transaction is rolled back."""
         return self._catalog.transaction_idle_s if self._catalog else DEFAULT_TRANSACTION_IDLE_S
 
+    @property
+    def catalog_age_s(self) -> float:
+        """Time since the store is known to have had no newer catalog; infinite if it is not."""
+        confirmed_at = self._catalog_confirmed_at
+        return math.inf if confirmed_at is None else self.now() - confirmed_at
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether the catalog tells callers apart."""
+        return self._catalog is not None and self._catalog.workspaces is not None
+
     @property
     def ready(self) -> bool:
         """Whether the catalog and, if this VM uses targets, their registrations are known."""
@@ -96,6 +116,24 @@
         """Returns how a database is served, None if it does not exist."""
         return self._catalog.routes.get(database) if self._catalog else None
 
+    def identify(self, route: Route, key: str) -> Caller:
+        """Returns whose statement it is that came with `key`, or why it is refused."""
+        assert self._catalog is not None
+        return identify(self._catalog, route, key, self.catalog_age_s, self._settings)
+
+    def workspace(self, name: str) -> Workspace | None:
+        """Returns a workspace, None if the catalog does not have it."""
+        workspaces = self._catalog.workspaces if self._catalog else None
+        return workspaces.get(name) if workspaces else None
+
+    def confirm_catalog(self, version: int, at: float) -> None:
+        """Records that the store held the catalog of `version` at `at` and no newer one.
+
+        An older one, such as that of a restored store, confirms nothing.
+        """
+        if version == self.catalog_version:
+            self._catalog_confirmed_at = max(at, self._catalog_confirmed_at or at)
+
     def group(self, route: Route) -> Group:
         """Returns the group of a route."""
         return self._groups[route.group]
@@ -109,12 +147,18 @@
         catalog = decoded.unwrap()
         if catalog.version <= self.catalog_version:
             return False
+        if catalog.problems:
+            logger().error("catalog-entries-ignored", source=source, reasons=catalog.problems)
         self._catalog = catalog
         self._raw_catalog = raw
         self._update_groups(catalog)
         self._catalog_loaded.set()
         logger().info(
-            "catalog-adopted", version=catalog.version, source=source, routes=len(catalog.routes)
+            "catalog-adopted",
+            version=catalog.version,
+            source=source,
+            routes=len(catalog.routes),
+            workspaces=len(catalog.workspaces or ()),
         )
         return True
 
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import attrs
@@ -28,6 +29,9 @@
     `silent_since`: since when statements have been waiting without any reply.
     `yield_until`: until when this VM leaves connections to a VM that has none.
     `idle_transaction_count`: how many of the connections in flight belong to idle transactions.
+    `opening_workspaces`: for which workspaces connections are being opened.
+    `bound_connections`: open connections by workspace, where each one serves a single workspace.
+    `use_intervals`: when each workspace last ran a statement, and its usual interval in seconds.
     `lacking_position`: log position for which the target refused a read; its log is assumed to lack
     it until `lacking_until`.
     """
@@ -49,6 +53,9 @@
     lacking_until: float = 0.0
     draining_since: float | None = None
     missing_since: float | None = None
+    opening_workspaces: list[str] = attrs.field(factory=list)
+    bound_connections: dict[str, list[TargetConnection]] = attrs.field(factory=dict)
+    use_intervals: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     connection_refused: bool = False
     closed: bool = False
 
@@ -62,6 +69,10 @@
         """Number of statements of this VM that the target is running or has queued."""
         return self.in_flight - self.idle_transaction_count
 
+    def connections_of(self, workspace: str) -> Sequence[TargetConnection]:
+        """Returns the open connections of a workspace."""
+        return self.bound_connections.get(workspace, ())
+
     @property
     def leaving(self) -> bool:
         """Whether the target is draining or closed, so that it takes no new work."""
@@ -91,7 +102,8 @@
     """What a statement requires of the target that runs it.
 
     With `min_position`, any target whose log has that position may run it, otherwise only the
-    primary. After `objective_at` its reply is late, after `deadline` useless.
+    primary. After `objective_at` its reply is late, after `deadline` useless. It needs a connection
+    in the name of `workspace`.
     """
 
     min_position: LogPosition | None
@@ -99,6 +111,7 @@
     deadline: float
     primary_only: bool
     objective_at: float
+    workspace: str = ""
 
 
 @attrs.define(eq=False)
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -45,7 +45,7 @@
 
 @attrs.define(eq=False)
 class Transaction:
-    """An open transaction of a client.
+    """An open transaction of a client, which runs in the name of `workspace`.
 
     `begin_request_id` is the id of the request that began it. `begin_greenlet` starts it on a
     target while the client prepares its first statement. `failure_reported` is set once the client
@@ -70,6 +70,7 @@
     link: Link | None = None
     handle: int = 0
     started: bool = False
+    workspace: str = ""
 
     def kind_of(self, statement: Statement, access: Access | None) -> StatementKind:
         """Returns the kind of a statement of this transaction."""
@@ -174,6 +175,7 @@
                 transaction.arrived_at,
                 deadline,
                 excluded,
+                transaction.workspace,
             )
             connection = self._pool.acquire(transaction.group, need, excluded)
             if connection is None:
@@ -184,6 +186,7 @@
                     "transaction-refused",
                     request=transaction.begin_request_id.decode(errors="replace"),
                     group=transaction.group.name,
+                    workspace=transaction.workspace,
                     primary=transaction.group.leadership.primary_id,
                     waiting=len(transaction.group.waiters),
                 )
@@ -191,7 +194,7 @@
             error = self._begin_on_connection(transaction, values, connection, need)
             if error is None:
                 transaction.connection = connection
-                connection.target.idle_transaction_count += 1
+                connection.rest()
                 if not transaction.running:
                     transaction.used_at = self._pool.now()
                     self._idle.add(transaction)
@@ -271,12 +274,12 @@
         """Runs one statement of a transaction that has a connection."""
         connection = transaction.connection
         assert connection is not None
-        connection.target.idle_transaction_count -= 1
+        connection.resume()
         try:
             return self._exchange(transaction, connection, values, statement, work)
         finally:
             if transaction.connection is not None:
-                connection.target.idle_transaction_count += 1
+                connection.rest()
 
     def _exchange(
         self,
@@ -356,7 +359,7 @@
         if connection is None:
             return
         if not transaction.running:
-            connection.target.idle_transaction_count -= 1
+            connection.resume()
         if connection.state is SessionState.IDLE:
             self._pool.release(transaction.group, connection)
         else:
--- a/tests/proxy/test_connections.py
+++ b/tests/proxy/test_connections.py
@@ -11,9 +11,10 @@
 
 @attrs.define
 class IdleConnection:
-    """An idle connection, with the only attribute that the decisions read."""
+    """An idle connection, with the attributes that the decisions read."""
 
     used_at: float
+    workspace: str = ""
 
 
 def set_idle_connections(target: Target, *used_at: float) -> None:
