Hold the quota of a workspace over all VMs

Operations are counted at the home of a workspace in each group. Homes report their demands to each other in the owners' gossip and divide the quota by them; a home that is not heard of counts with an equal part. Beyond the quota an operation is refused at once, with the time until there is room.

--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -17,6 +17,15 @@
     refused: bool
 
 
+@attrs.frozen
+class WorkspaceDemand:
+    """Operations per second that a workspace asks for in a group, counted at its home."""
+
+    group: str
+    workspace: str
+    per_s: float
+
+
 @message("gossip")
 @attrs.frozen
 class Gossip:
@@ -25,6 +34,7 @@
     `targets_version` and `catalog_version` are the versions of the store's tables that it knows.
     `starved` lists the targets (by group and id) that have no connection left for the sender.
     `wants_answer` asks for the receiver's own state, of which the sender has not heard lately.
+    `demands` are those of the workspaces for which the sender is the home.
     """
 
     vm: str
@@ -34,6 +44,7 @@
     starved: tuple[tuple[str, str], ...] = ()
     draining: bool = False
     wants_answer: bool = False
+    demands: tuple[WorkspaceDemand, ...] = ()
 
 
 @message("state-request")
--- /dev/null
+++ b/siskindale/proxy/decisions/quotas.py
@@ -0,0 +1,122 @@
+"""How many operations of a workspace each of its homes admits.
+
+Load pattern: a workspace sends many times its usual, through all VMs and to all groups. Its quota
+holds for all of them together in each sliding window. Each group counts the operations of a
+workspace at one owner, its home, so the quota is divided among as many token buckets as there are
+groups, by the demand that the homes report to each other. A home that reports nothing counts with
+an equal part, so that the parts do not exceed the whole while homes cannot reach each other.
+"""
+
+import math
+from collections.abc import Mapping
+
+import attrs
+
+from siskindale.models.catalog import Workspace
+from siskindale.models.vm import ProxySettings
+
+# The rest of what the operator tolerates covers the time until homes know of a change of demand.
+USED_OVERAGE = 0.5
+USED_SLACK = 0.8
+DEMAND_TIME_CONSTANT_S = 2.0
+# Part of an equal share that stays with a home without demand, for its first operations.
+IDLE_SHARE = 0.1
+
+
+@attrs.frozen
+class Quota:
+    """What one home admits: `rate_per_s` in the long run, and up to `burst` operations at once."""
+
+    rate_per_s: float
+    burst: float
+
+
+@attrs.define
+class Demand:
+    """Smoothed number of operations per second that a workspace asks for."""
+
+    per_s: float = 0.0
+    updated_at: float = 0.0
+
+    def at(self, now: float) -> float:
+        """Returns the demand at `now`."""
+        return self.per_s * math.exp((self.updated_at - now) / DEMAND_TIME_CONSTANT_S)
+
+    def add(self, now: float) -> None:
+        """Records an operation."""
+        self.per_s = self.at(now) + 1 / DEMAND_TIME_CONSTANT_S
+        self.updated_at = now
+
+
+def share(
+    workspace: Workspace, group: str, demands: Mapping[str, float], group_count: int
+) -> float:
+    """Returns the part of a workspace's quota that its home of `group` admits.
+
+    `demands` are the known demands by group, in operations per second.
+    """
+    equal = (workspace.rate_per_s or 0.0) / max(1, group_count)
+    least = max(IDLE_SHARE * equal, 1e-9)
+    own = max(demands.get(group, 0.0), least)
+    others = sum(max(demand, least) for name, demand in demands.items() if name != group)
+    unknown_count = max(0, group_count - len(demands.keys() | {group}))
+    return own / (own + others + unknown_count * max(equal, least))
+
+
+def part_of(workspace: Workspace, part: float, group_count: int, settings: ProxySettings) -> Quota:
+    """Returns what a home with a `part` of a workspace's quota admits.
+
+    Half of the slack that is used may come at once, the other half is spread over a window.
+    """
+    factor = part * (1 + USED_OVERAGE * settings.quota_overage)
+    slack = USED_SLACK * settings.quota_slack / max(1, group_count) / 2
+    rate = workspace.rate_per_s or 0.0
+    return Quota(
+        rate_per_s=rate * factor + slack / settings.quota_window_s,
+        burst=max(1.0, workspace.burst * factor + slack),
+    )
+
+
+@attrs.define
+class Bucket:
+    """Token bucket of a workspace at its home; a new one holds what one second brings.
+
+    A home that takes over from a lost one does not know what that one has admitted.
+    """
+
+    quota: Quota
+    updated_at: float
+    tokens: float = attrs.field()
+
+    @tokens.default
+    def _initial_tokens(self) -> float:
+        return min(self.quota.burst, max(1.0, self.quota.rate_per_s))
+
+    def set_quota(self, quota: Quota, now: float) -> None:
+        """Applies a changed quota; a smaller one is in force at once."""
+        self._refill(now)
+        self.quota = quota
+        self.tokens = min(self.tokens, quota.burst)
+
+    def take(self, now: float) -> bool:
+        """Takes a token for one operation; returns whether there was one."""
+        self._refill(now)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def put_back(self) -> None:
+        """Returns the token of an operation that did not run."""
+        self.tokens = min(self.quota.burst, self.tokens + 1.0)
+
+    def wait_s(self) -> float:
+        """Returns the seconds until there is a token again."""
+        missing = max(0.0, 1.0 - self.tokens)
+        return missing / self.quota.rate_per_s if self.quota.rate_per_s else math.inf
+
+    def _refill(self, now: float) -> None:
+        self.tokens = min(
+            self.quota.burst, self.tokens + (now - self.updated_at) * self.quota.rate_per_s
+        )
+        self.updated_at = now
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -22,6 +22,7 @@
 )
 from siskindale.models.messages import Body
 from siskindale.models.vm import ProxySettings
+from siskindale.proxy.admission import Admission
 from siskindale.proxy.decisions.connections import is_starved
 from siskindale.proxy.members import Membership
 from siskindale.proxy.ownership import Ownership
@@ -72,6 +73,7 @@
         membership: Membership,
         ownership: Ownership,
         yield_connections: Callable[[Group, Target], None],
+        admission: Admission,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -80,6 +82,7 @@
         self._membership = membership
         self._ownership = ownership
         self._yield_connections = yield_connections
+        self._admission = admission
         self._promotion_handler: Callable[[PromotionNotice, str], None] | None = None
         self._peers: dict[str, Peer] = {}
         self._seeds = {s.inbox_url for s in settings.seeds if s != settings.peers}
@@ -254,13 +257,18 @@
             self._send(url, self._gossip(losses, wants_answer=url not in heard_from))
 
     def _co_owner_urls(self) -> set[str]:
-        """Returns the inboxes of all VMs that own connections of the same groups as this one."""
+        """Returns the inboxes of all VMs that own connections of the same groups as this one.
+
+        The homes of a workspace, in all groups, share its quota.
+        """
         groups = self._state.groups.values()
         table = self._membership.table
         if any(self._ownership.owns_everything(group) for group in groups):
             members = table.others()
         else:
             owned = [group for group in groups if self._ownership.owns(group)]
+            if owned and self._state.has_workspaces:
+                owned = list(groups)
             members = [m for group in owned for m in self._ownership.owners(group)]
         return {m.peers.inbox_url for m in members if m.vm != table.own.vm}
 
@@ -273,6 +281,7 @@
             starved=self._starved(),
             draining=self.draining,
             wants_answer=wants_answer,
+            demands=self._admission.report(),
         )
 
     def _send(
@@ -303,6 +312,7 @@
             gossip.vm, url, boot, self._clock.monotonic(), gossip.losses, gossip.draining
         )
         self._yield_to_starved(gossip.starved)
+        self._admission.note_report(gossip.demands)
         if gossip.wants_answer:
             self._send(url, self._gossip(self._losses(), wants_answer=False))
         if gossip.catalog_version > self._state.catalog_version or not self._state.ready:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -22,6 +22,7 @@
 from siskindale.models.vm import RELOADABLE, ProxySettings, changed_fields
 from siskindale.platform.store import PlatformStore
 from siskindale.proxy import metrics
+from siskindale.proxy.admission import Admission
 from siskindale.proxy.directory import Directory
 from siskindale.proxy.duty import Duties, DutyKeeper
 from siskindale.proxy.failover import Failover
@@ -86,6 +87,7 @@
         )
         self._state = ProxyState(settings, clock, groups, self._pool)
         self._state.needs_targets_if(self._owns_any)
+        self._admission = Admission(settings, clock, self._state)
         self._peers = Peers(
             settings,
             clock,
@@ -93,6 +95,7 @@
             self._membership,
             ownership,
             self._pool.yield_connections,
+            self._admission,
         )
         store = PlatformStore(settings.store)
         store.on_restored(self._note_restored)
@@ -124,8 +127,8 @@
     def _build_runners(self) -> Runners:
         router = Router(self._pool, self._peers.request_sample)
         return Runners(
-            StatementRunner(self._pool, router),
-            TransactionRunner(self._pool, router),
+            StatementRunner(self._pool, router, self._admission),
+            TransactionRunner(self._pool, router, self._admission),
             self._forwarding,
             self._ownership.serves,
             self._directory.wait_until_settled,
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -8,6 +8,7 @@
 from siskindale.models.statements import Access, ErrorCode, Reply, SessionState, Statement
 from siskindale.platform import wire
 from siskindale.proxy import metrics
+from siskindale.proxy.admission import Admission
 from siskindale.proxy.connection import TargetConnection
 from siskindale.proxy.decisions import outcomes, placement, waiting
 from siskindale.proxy.decisions.freshness import required_position
@@ -62,12 +63,27 @@
 class StatementRunner:
     """Runs statements outside transactions on connections of a pool."""
 
-    def __init__(self, pool: ConnectionPool, router: Router) -> None:
+    def __init__(self, pool: ConnectionPool, router: Router, admission: Admission) -> None:
         self._pool = pool
         self._router = router
+        self._admission = admission
 
     def run(self, execution: StatementExecution, values: SessionValues) -> Reply:
-        """Runs a statement until it has a reply or its deadline has passed."""
+        """Runs a statement within the quota of its workspace.
+
+        Returns once there is a reply, or its deadline has passed.
+        """
+        group_name, workspace = execution.group.name, execution.workspace
+        request_id = execution.statement.request_id
+        refusal = self._admission.refusal(group_name, workspace, request_id)
+        if refusal is not None:
+            return refusal
+        reply = self._run(execution, values)
+        if reply.error is ErrorCode.OVERLOADED:
+            self._admission.put_back(group_name, workspace)
+        return reply
+
+    def _run(self, execution: StatementExecution, values: SessionValues) -> Reply:
         last_error = ErrorCode.OVERLOADED
         while True:
             need = self._build_need(execution)
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -19,6 +19,7 @@
 )
 from siskindale.platform import wire
 from siskindale.proxy import metrics
+from siskindale.proxy.admission import Admission
 from siskindale.proxy.connection import TargetConnection
 from siskindale.proxy.decisions import idle_transactions, outcomes, placement
 from siskindale.proxy.decisions.freshness import required_position
@@ -50,6 +51,7 @@
     `begin_request_id` is the id of the request that began it. `begin_greenlet` starts it on a
     target while the client prepares its first statement. `failure_reported` is set once the client
     has been told that the transaction failed. `used_at` is when its last statement began or ended.
+    `refusal` is the reply to its statements if it exceeds the quota of its workspace.
 
     At the owner of the group's connections it has a `connection`. At a VM that forwards it, it has
     the `link` to the owner and a `handle` for it; `started` once a statement was forwarded.
@@ -71,6 +73,7 @@
     handle: int = 0
     started: bool = False
     workspace: str = ""
+    refusal: Reply | None = None
 
     def kind_of(self, statement: Statement, access: Access | None) -> StatementKind:
         """Returns the kind of a statement of this transaction."""
@@ -84,9 +87,10 @@
 class TransactionRunner:
     """Runs transactions of client sessions on connections of a pool."""
 
-    def __init__(self, pool: ConnectionPool, router: Router) -> None:
+    def __init__(self, pool: ConnectionPool, router: Router, admission: Admission) -> None:
         self._pool = pool
         self._router = router
+        self._admission = admission
         self._idle: set[Transaction] = set()
 
     def begin_in_background(
@@ -95,7 +99,16 @@
         values: SessionValues,
         session_position: LogPosition | None,
     ) -> None:
-        """Starts a transaction on a target while its client prepares the first statement."""
+        """Starts a transaction on a target while its client prepares the first statement.
+
+        It counts as one operation of its workspace, and is refused beyond the quota.
+        """
+        transaction.refusal = self._admission.refusal(
+            transaction.group.name, transaction.workspace, transaction.begin_request_id
+        )
+        if transaction.refusal is not None:
+            transaction.refusal.state = SessionState.FAILED
+            return
         deadline = self._pool.now() + transaction.route.timeout_s
         transaction.begin_greenlet = gevent.spawn(
             self._begin, transaction, values, session_position, deadline
@@ -110,6 +123,8 @@
         work: StatementKind,
     ) -> Reply:
         """Runs one statement of a transaction, or its commit, and starts it before if needed."""
+        if transaction.refusal is not None:
+            return transaction.refusal
         transaction.running, transaction.used_at = True, self._pool.now()
         self._idle.discard(transaction)
         try:
--- a/tests/proxy/test_statements.py
+++ b/tests/proxy/test_statements.py
@@ -10,6 +10,7 @@
 from siskindale.models.catalog import Consistency, Route
 from siskindale.models.statements import Access, Statement, Verb
 from siskindale.models.vm import ProxySettings
+from siskindale.proxy.admission import Admission
 from siskindale.proxy.connection import TargetConnection
 from siskindale.proxy.decisions.outcomes import StatementKind
 from siskindale.proxy.decisions.session_state import SessionValues
@@ -67,25 +68,39 @@
     return Router(pool, lambda _: None)
 
 
+@pytest.fixture
+def admission() -> Admission:
+    """Admission without workspaces, which admits everything."""
+    return Admission(build_settings(), SystemClock(), Mock())
+
+
 def test_a_defect_during_a_statement_does_not_leave_it_in_flight(
-    group: Group, pool: ConnectionPool, router: Router, route: Callable[..., Route]
+    group: Group,
+    pool: ConnectionPool,
+    router: Router,
+    admission: Admission,
+    route: Callable[..., Route],
 ) -> None:
     """Guards against a target that looks busy for ever after an unforeseen exception."""
     latest = route(consistency=Consistency.LATEST)
     execution = StatementExecution(READ, latest, group, pool.now(), Access.READ, None)
     with pytest.raises(RuntimeError):
-        StatementRunner(pool, router).run(execution, SessionValues())
+        StatementRunner(pool, router, admission).run(execution, SessionValues())
     target = group.targets["a"]
     assert (target.in_flight, target.open_count, target.idle_connections) == (0, 0, [])
 
 
 def test_a_defect_inside_a_transaction_closes_its_connection(
-    group: Group, pool: ConnectionPool, router: Router, route: Callable[..., Route]
+    group: Group,
+    pool: ConnectionPool,
+    router: Router,
+    admission: Admission,
+    route: Callable[..., Route],
 ) -> None:
     """Guards against a connection that stays in use after an unforeseen exception."""
     target = group.targets["a"]
     transaction = Transaction(False, route(), group, pool.now(), b"1", pool.take_idle(target))
-    runner = TransactionRunner(pool, router)
+    runner = TransactionRunner(pool, router, admission)
     with pytest.raises(RuntimeError):
         runner.run(transaction, SessionValues(), None, READ, StatementKind.TRANSACTION_READ)
     runner.end(transaction)
