Serve waiting statements by what their workspaces have used

Within a priority, one workspace that sends seven times its usual made the others wait behind its statements. Those go first now whose workspaces have used least of the group lately. The pool also looks at its waiting statements only while a target has room for one more.

--- a/siskindale/proxy/decisions/waiting.py
+++ b/siskindale/proxy/decisions/waiting.py
@@ -3,15 +3,17 @@
 Load pattern: more statements arrive than a target can run, such as when all replicas lag and the
 primary has to serve all reads. Statements of a higher priority go first. Within a priority those
 go first that can still meet their objective; with the earliest deadline first, all of them would
-wait until they are late. A statement that cannot be reached before its deadline is refused when it
-arrives, so that its client can try again in time.
+wait until they are late. Of these, those go first whose workspaces have used least lately. A
+statement that cannot be reached before its deadline is refused when it arrives, so that its client
+can try again in time.
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 
+from siskindale.proxy.decisions.fairness import NO_WORK, RecentWork
 from siskindale.proxy.tables import Group, Need, Target, Waiter
 
 # Statements that a target runs and queues at any time, for each of its slots; with less it would be
@@ -56,13 +58,20 @@
     return QueueBypass(allowed=True, except_primary=True)
 
 
-def service_order(waiters: Sequence[Waiter], now: float) -> list[Waiter]:
-    """Returns waiters in the order in which they get connections."""
-    return sorted(waiters, key=lambda waiter: _rank(waiter.need, now))
+def service_order(
+    waiters: Sequence[Waiter], now: float, work: Mapping[str, RecentWork] = NO_WORK
+) -> list[Waiter]:
+    """Returns waiters in the order in which they get connections.
+
+    `work` is what each workspace has used lately.
+    """
+    return sorted(waiters, key=lambda waiter: _rank(waiter.need, now, work))
 
 
-def _rank(need: Need, now: float) -> tuple[int, bool, float]:
-    return (need.priority, need.objective_at < now + RUN_TIME_S, need.deadline)
+def _rank(need: Need, now: float, work: Mapping[str, RecentWork]) -> tuple[int, bool, float, float]:
+    used = work.get(need.workspace)
+    late = need.objective_at < now + RUN_TIME_S
+    return (need.priority, late, 0.0 if used is None else used.at(now), need.deadline)
 
 
 def running_limit(slots: int, vm_count: int) -> int:
@@ -89,11 +98,12 @@
     """
     if not candidates:
         return 0.0
-    rank = _rank(need, now)
+    rank = _rank(need, now, group.recent_work)
     ahead = sum(
         1
         for waiter in group.waiters
-        if _rank(waiter.need, now) <= rank and (need.primary_only or not waiter.need.primary_only)
+        if _rank(waiter.need, now, group.recent_work) <= rank
+        and (need.primary_only or not waiter.need.primary_only)
     )
     replies_per_s = sum(
         running_limit(target.entry.slots, vm_count) / max(target.latency_s, 0.001)
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -23,6 +23,7 @@
 from siskindale.proxy.decisions import (
     bound_connections,
     connections,
+    fairness,
     idle_transactions,
     leadership,
     placement,
@@ -135,14 +136,33 @@
                 connection.target.bound_connections[connection.workspace].remove(connection)
 
     def dispatch(self, group: Group) -> None:
-        """Assigns idle connections to waiting statements, and opens more where needed."""
-        for waiter in waiting.service_order(group.waiters, self.now()):
+        """Assigns idle connections to waiting statements, and opens more where needed.
+
+        It runs after each statement, so it returns early while no target has room.
+        """
+        if not group.waiters or not (free := self._free_targets(group)):
+            return
+        for waiter in waiting.service_order(group.waiters, self.now(), group.recent_work):
+            if waiter.need.primary_only and group.primary not in free:
+                continue
             connection = self._take_idle_for(group, waiter)
             if connection is None:
                 self._open_for(group, waiter)
-            else:
-                group.waiters.remove(waiter)
-                waiter.result.set(connection)
+                continue
+            group.waiters.remove(waiter)
+            waiter.result.set(connection)
+            free = self._free_targets(group)
+            if not free:
+                return
+
+    def _free_targets(self, group: Group) -> list[Target]:
+        """Returns the targets at which this VM may run one more statement."""
+        vm_count = self._vm_count(group)
+        return [
+            target
+            for target in group.targets.values()
+            if target.running_count < waiting.running_limit(target.entry.slots, vm_count)
+        ]
 
     def close_target(self, group: Group, target: Target) -> None:
         """Marks a target as closed, and closes its idle connections."""
@@ -173,11 +193,17 @@
                 target.in_flight += 1
                 connection.in_use = True
                 if workspace:
-                    bound_connections.note_use(target, workspace, self.now())
+                    self._note_use(target, workspace)
                 return connection
             self.discard(self._groups[target.entry.group], connection)
         return None
 
+    def _note_use(self, target: Target, workspace: str) -> None:
+        now = self.now()
+        bound_connections.note_use(target, workspace, now)
+        work_s = placement.expected_latency(target, now)
+        fairness.note_work(self._groups[target.entry.group], workspace, work_s, now)
+
     def maintain(self, group: Group) -> None:
         """Opens connections up to the minimum of each target, and closes surplus idle ones."""
         now = self.now()
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from siskindale.proxy.connection import TargetConnection
+    from siskindale.proxy.decisions.fairness import RecentWork
 
 # Expected duration of a statement at a target that has not served any yet.
 INITIAL_LATENCY_S = 0.012
@@ -125,7 +126,10 @@
 
 @attrs.define(eq=False)
 class Group:
-    """A group of targets, with its primary, freshness samples and waiting statements."""
+    """A group of targets, with its primary, freshness samples and waiting statements.
+
+    `recent_work` is what each workspace has used of its targets.
+    """
 
     name: str
     limits: GroupLimits
@@ -133,6 +137,7 @@
     leadership: Leadership = attrs.field(factory=Leadership)
     freshness: Freshness = attrs.field(factory=Freshness)
     waiters: list[Waiter] = attrs.field(factory=list)
+    recent_work: dict[str, RecentWork] = attrs.field(factory=dict)
 
     @property
     def primary(self) -> Target | None:
