Divide a quota by confirmed demand only

A model of the homes with random demand and cuts showed windows over the limit: a home raised its part by a demand that the others had not heard of, and parts of homes that are not heard of were given away. A higher demand counts now once the other homes were heard since it was reported, a lower one at once, and each home that is not heard of keeps an equal part. A new bucket is full: the unused overage covers the one burst that a successor may admit twice.

--- a/siskindale/proxy/admission.py
+++ b/siskindale/proxy/admission.py
@@ -1,36 +1,28 @@
 """Admits operations of workspaces within their quotas, at the homes of the workspaces."""
 
 import heapq
+from collections import defaultdict
 
 import attrs
 
 from siskindale.context import Clock
+from siskindale.models.catalog import Workspace
 from siskindale.models.gossip import WorkspaceDemand
 from siskindale.models.statements import ErrorCode, Reply
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy import metrics
 from siskindale.proxy.decisions import quotas
-from siskindale.proxy.decisions.quotas import Bucket, Demand
+from siskindale.proxy.decisions.quotas import Bucket, Demand, DemandView, Quota
 from siskindale.proxy.state import ProxyState
 from siskindale.runtime.logs import logger
 
 # A home adjusts its part of a quota to the known demands at this interval.
 ADJUST_INTERVAL_S = 0.5
-# Without a report for this long, the demand of another home is unknown.
-REPORT_TIMEOUT_S = 5.0
 # Demands in one report; those that are left out count as equal parts.
 MAX_REPORTED = 200
 LOG_INTERVAL_S = 1.0
 
 
-@attrs.define
-class _Reported:
-    """Demand that another home has reported; `heard_at` is when."""
-
-    per_s: float
-    heard_at: float
-
-
 @attrs.define(eq=False)
 class _HomeRow:
     """What this VM knows of one workspace in one group for which it is the home."""
@@ -50,7 +42,7 @@
         self._clock = clock
         self._state = state
         self._homes: dict[tuple[str, str], _HomeRow] = {}
-        self._reported: dict[str, dict[str, _Reported]] = {}
+        self._views: defaultdict[str, DemandView] = defaultdict(DemandView)
 
     def refusal(self, group: str, workspace_name: str, request_id: bytes) -> Reply | None:
         """Counts an operation; returns its refusal if it exceeds the quota of its workspace."""
@@ -60,7 +52,7 @@
         if workspace is None or workspace.rate_per_s is None:
             return None
         now = self._clock.monotonic()
-        row = self._adjusted_row(group, workspace_name, now)
+        row = self._adjusted_row(group, workspace, now)
         row.demand.add(now)
         if row.bucket.take(now):
             return None
@@ -81,8 +73,9 @@
         """Returns the demands for which this VM is the home, for the other homes."""
         now = self._clock.monotonic()
         demands = (
-            WorkspaceDemand(group, name, round(row.demand.at(now), 3))
-            for (group, name), row in self._homes.items()
+            WorkspaceDemand(group, name, per_s)
+            for name, view in self._views.items()
+            for group, per_s in view.report(now).items()
         )
         return tuple(heapq.nlargest(MAX_REPORTED, demands, key=lambda demand: demand.per_s))
 
@@ -90,36 +83,22 @@
         """Records the demands that another VM has reported."""
         now = self._clock.monotonic()
         for demand in demands:
-            by_group = self._reported.setdefault(demand.workspace, {})
-            by_group[demand.group] = _Reported(demand.per_s, now)
+            self._views[demand.workspace].hear(demand.group, demand.per_s, now)
 
-    def _adjusted_row(self, group: str, name: str, now: float) -> _HomeRow:
-        row = self._homes.get((group, name))
+    def _adjusted_row(self, group: str, workspace: Workspace, now: float) -> _HomeRow:
+        row = self._homes.get((group, workspace.name))
         if row is None:
-            demand = Demand(updated_at=now)
-            row = _HomeRow(Bucket(self._quota(group, name, demand, now), now), demand, now)
-            self._homes[group, name] = row
+            demand = self._views[workspace.name].own[group] = Demand(updated_at=now)
+            row = _HomeRow(Bucket(self._quota(group, workspace, now), now), demand, now)
+            self._homes[group, workspace.name] = row
         elif now - row.adjusted_at >= ADJUST_INTERVAL_S:
             row.adjusted_at = now
-            row.bucket.set_quota(self._quota(group, name, row.demand, now), now)
+            row.bucket.set_quota(self._quota(group, workspace, now), now)
         return row
 
-    def _quota(self, group: str, name: str, demand: Demand, now: float) -> quotas.Quota:
-        workspace = self._state.workspace(name)
-        assert workspace is not None
+    def _quota(self, group: str, workspace: Workspace, now: float) -> Quota:
         group_count = len(self._state.groups)
-        demands = {
-            reported_group: reported.per_s
-            for reported_group, reported in self._reported.get(name, {}).items()
-            if now - reported.heard_at < REPORT_TIMEOUT_S
-        }
-        demands.update(
-            (own_group, row.demand.at(now))
-            for own_group in self._state.groups
-            if (row := self._homes.get((own_group, name))) is not None
-        )
-        demands[group] = demand.at(now)
-        part = quotas.share(workspace, group, demands, group_count)
+        part = self._views[workspace.name].part(workspace, group, group_count, now)
         return quotas.part_of(workspace, part, group_count, self._settings)
 
     def _log_refusal(
--- a/siskindale/proxy/decisions/quotas.py
+++ b/siskindale/proxy/decisions/quotas.py
@@ -8,7 +8,6 @@
 """
 
 import math
-from collections.abc import Mapping
 
 import attrs
 
@@ -19,6 +18,8 @@
 USED_OVERAGE = 0.5
 USED_SLACK = 0.8
 DEMAND_TIME_CONSTANT_S = 2.0
+# Two reports may be missing before the demand of another home is unknown.
+REPORT_TIMEOUT_S = 3.5
 # Part of an equal share that stays with a home without demand, for its first operations.
 IDLE_SHARE = 0.1
 
@@ -48,19 +49,57 @@
         self.updated_at = now
 
 
-def share(
-    workspace: Workspace, group: str, demands: Mapping[str, float], group_count: int
-) -> float:
-    """Returns the part of a workspace's quota that its home of `group` admits.
+@attrs.define
+class DemandView:
+    """Demands of one workspace by group, as one of its homes knows them.
 
-    `demands` are the known demands by group, in operations per second.
+    `own` are counted here; `sent` holds what was last reported of them and when, `counted` what
+    this home makes of it. `heard` is what the other homes have reported, and when.
     """
-    equal = (workspace.rate_per_s or 0.0) / max(1, group_count)
-    least = max(IDLE_SHARE * equal, 1e-9)
-    own = max(demands.get(group, 0.0), least)
-    others = sum(max(demand, least) for name, demand in demands.items() if name != group)
-    unknown_count = max(0, group_count - len(demands.keys() | {group}))
-    return own / (own + others + unknown_count * max(equal, least))
+
+    own: dict[str, Demand] = attrs.field(factory=dict)
+    sent: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    counted: dict[str, float] = attrs.field(factory=dict)
+    heard: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+
+    def report(self, now: float) -> dict[str, float]:
+        """Returns the demands to report; a lower one counts here at once."""
+        reported = {group: round(demand.at(now), 3) for group, demand in self.own.items()}
+        for group, per_s in reported.items():
+            self._count_confirmed(group)
+            self.counted[group] = min(per_s, self.counted.get(group, per_s))
+            self.sent[group] = (per_s, now)
+        return reported
+
+    def hear(self, group: str, per_s: float, now: float) -> None:
+        """Records what another home has reported."""
+        if group not in self.own:
+            self.heard[group] = (per_s, now)
+
+    def part(self, workspace: Workspace, group: str, group_count: int, now: float) -> float:
+        """Returns the part of the quota that this home admits for `group`.
+
+        Homes that are not heard of keep an equal part each.
+        """
+        heard_after = now - REPORT_TIMEOUT_S
+        self.heard = {name: entry for name, entry in self.heard.items() if entry[1] > heard_after}
+        for name in self.own:
+            self._count_confirmed(name)
+        demands = {name: per_s for name, (per_s, _) in self.heard.items()}
+        demands.update((name, self.counted.get(name, 0.0)) for name in self.own)
+        least = max(IDLE_SHARE * (workspace.rate_per_s or 0.0) / max(1, group_count), 1e-9)
+        known = sum(max(demand, least) for demand in demands.values())
+        known_part = min(1.0, len(demands) / max(1, group_count))
+        return known_part * max(demands.get(group, 0.0), least) / known
+
+    def _count_confirmed(self, group: str) -> None:
+        """Counts a higher demand once the other homes must have heard of it.
+
+        They are reachable if they were heard since it was reported.
+        """
+        per_s, at = self.sent.get(group, (0.0, 0.0))
+        if all(heard_at >= at for _, heard_at in self.heard.values()):
+            self.counted[group] = per_s
 
 
 def part_of(workspace: Workspace, part: float, group_count: int, settings: ProxySettings) -> Quota:
@@ -79,9 +118,10 @@
 
 @attrs.define
 class Bucket:
-    """Token bucket of a workspace at its home; a new one holds what one second brings.
+    """Token bucket of a workspace at its home; a new one is full.
 
-    A home that takes over from a lost one does not know what that one has admitted.
+    A home that takes over from a lost one does not know what that one has admitted, and may exceed
+    its part by one burst. The overage that is not used covers that.
     """
 
     quota: Quota
@@ -90,7 +130,7 @@
 
     @tokens.default
     def _initial_tokens(self) -> float:
-        return min(self.quota.burst, max(1.0, self.quota.rate_per_s))
+        return self.quota.burst
 
     def set_quota(self, quota: Quota, now: float) -> None:
         """Applies a changed quota; a smaller one is in force at once."""
