Balance targets by what owners report to each other

Each owner knew only its own statements at a target and chose the one with the least, so the owners overran targets in turns. They report the averages of what they run in the gossip that goes anyway. An old report counts for less, and the load that an owner does not see itself is weighted at random, so that many owners spread in proportion to spare capacity. A VM without reports chooses as before.

--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -26,6 +26,15 @@
     per_s: float
 
 
+@attrs.frozen
+class OwnerLoad:
+    """Average number of statements that the sender runs at a target."""
+
+    group: str
+    target: str
+    running: float
+
+
 @message("gossip")
 @attrs.frozen
 class Gossip:
@@ -34,7 +43,8 @@
     `targets_version` and `catalog_version` are the versions of the store's tables that it knows.
     `starved` lists the targets (by group and id) that have no connection left for the sender.
     `wants_answer` asks for the receiver's own state, of which the sender has not heard lately.
-    `demands` are those of the workspaces for which the sender is the home.
+    `demands` are those of the workspaces for which the sender is the home. `loads` are what it runs
+    at the targets whose connections it shares with other owners.
     """
 
     vm: str
@@ -45,6 +55,7 @@
     draining: bool = False
     wants_answer: bool = False
     demands: tuple[WorkspaceDemand, ...] = ()
+    loads: tuple[OwnerLoad, ...] = ()
 
 
 @message("state-request")
--- a/siskindale/proxy/decisions/placement.py
+++ b/siskindale/proxy/decisions/placement.py
@@ -5,9 +5,10 @@
 """
 
 from collections.abc import Iterable
+from random import Random
 
 from siskindale.membership.rendezvous import rendezvous_score
-from siskindale.proxy.decisions import lag
+from siskindale.proxy.decisions import balancing, lag
 from siskindale.proxy.tables import INITIAL_LATENCY_S, Group, Need, Target
 
 # A round trip to another failure domain takes 3 ms and its traffic is expensive, so a statement
@@ -37,6 +38,7 @@
     own_domain: str,
     now: float,
     drain_s: float,
+    random: Random,
 ) -> list[Target]:
     """Returns the targets that may run a statement, best first.
 
@@ -53,7 +55,7 @@
     return sorted(
         current or usable,
         key=lambda target: (
-            _cost(group, target, own_domain, now) + _affinity_cost(target, need.workspace)
+            _cost(group, target, own_domain, now, random) + _affinity_cost(target, need.workspace)
         ),
     )
 
@@ -68,8 +70,8 @@
     return is_primary or not need.primary_only
 
 
-def _cost(group: Group, target: Target, own_domain: str, now: float) -> float:
-    cost = expected_latency(target, now) * (1 + target.in_flight)
+def _cost(group: Group, target: Target, own_domain: str, now: float, random: Random) -> float:
+    cost = _expected_time(target, now, random)
     if target.entry.failure_domain != own_domain:
         cost += REMOTE_PENALTY_S
     if target.id == group.leadership.primary_id:
@@ -77,6 +79,19 @@
     return cost
 
 
+def _expected_time(target: Target, now: float, random: Random) -> float:
+    """Returns the expected time of a statement; owners that know of each other count their load."""
+    latency_s = expected_latency(target, now)
+    if not target.reported_loads:
+        return latency_s * (1 + target.in_flight)
+    own_average = target.average_load.at(target.running_count, now)
+    others = balancing.others_running(target.reported_loads, own_average, now)
+    slots = target.entry.slots
+    service_s = balancing.service_time(latency_s, own_average + others, slots)
+    load = balancing.TargetLoad(target.running_count, others)
+    return balancing.expected_time(service_s, load, slots, random)
+
+
 def _affinity_cost(target: Target, workspace: str) -> float:
     """Returns what it costs that a workspace has no connection to a target yet."""
     if not workspace or target.connections_of(workspace):
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -13,6 +13,7 @@
 from siskindale.models.gossip import (
     Gossip,
     Loss,
+    OwnerLoad,
     PromotionNotice,
     SampleAnswer,
     SampleRequest,
@@ -23,6 +24,7 @@
 from siskindale.models.messages import Body
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy.admission import Admission
+from siskindale.proxy.decisions.balancing import ReportedLoad
 from siskindale.proxy.decisions.connections import is_starved
 from siskindale.proxy.members import Membership
 from siskindale.proxy.ownership import Ownership
@@ -243,6 +245,28 @@
             if is_starved(target, now)
         )
 
+    def _owner_loads(self) -> tuple[OwnerLoad, ...]:
+        """Returns what this VM runs at targets of which it is one of a few owners."""
+        now = self._clock.monotonic()
+        return tuple(
+            OwnerLoad(
+                group.name,
+                target.id,
+                round(target.average_load.at(target.running_count, now), 2),
+            )
+            for group in self._state.groups.values()
+            if not self._ownership.owns_everything(group) and self._ownership.owns(group)
+            for target in group.targets.values()
+        )
+
+    def _note_loads(self, gossip: Gossip) -> None:
+        now = self._clock.monotonic()
+        for load in gossip.loads:
+            group = self._state.groups.get(load.group)
+            target = group.targets.get(load.target) if group else None
+            if target is not None:
+                target.reported_loads[gossip.vm] = ReportedLoad(load.running, now)
+
     def _yield_to_starved(self, starved: tuple[tuple[str, str], ...]) -> None:
         for group_name, target_id in starved:
             group = self._state.groups.get(group_name)
@@ -282,6 +306,7 @@
             draining=self.draining,
             wants_answer=wants_answer,
             demands=self._admission.report(),
+            loads=self._owner_loads(),
         )
 
     def _send(
@@ -313,6 +338,7 @@
         )
         self._yield_to_starved(gossip.starved)
         self._admission.note_report(gossip.demands)
+        self._note_loads(gossip)
         if gossip.wants_answer:
             self._send(url, self._gossip(self._losses(), wants_answer=False))
         if gossip.catalog_version > self._state.catalog_version or not self._state.ready:
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Callable, Iterable
+from random import Random
 
 import gevent
 from gevent.event import AsyncResult
@@ -61,6 +62,7 @@
         self._owns = owns
         self._notify_peers = notify_peers
         self._read_registrations = read_registrations
+        self._random = Random()
 
     def reload(self, settings: ProxySettings) -> None:
         """Applies changed settings."""
@@ -95,7 +97,7 @@
     def release(self, group: Group, connection: TargetConnection) -> None:
         """Returns a connection to the pool, or closes it if it can't be reused."""
         target = connection.target
-        target.in_flight -= 1
+        self._change_in_flight(target, -1)
         unusable = connection.state is not SessionState.IDLE or not connection.reusable
         if target.closed or unusable or connections.must_yield(target, self.now()):
             self.discard(group, connection)
@@ -109,7 +111,7 @@
     def close_in_use(self, group: Group, connection: TargetConnection) -> None:
         """Closes a connection that is in use."""
         target = connection.target
-        target.in_flight -= 1
+        self._change_in_flight(target, -1)
         if not target.in_flight:
             target.silent_since = None
         self.discard(group, connection)
@@ -190,7 +192,7 @@
                 continue
             del target.idle_connections[index]
             if connection.reusable:
-                target.in_flight += 1
+                self._change_in_flight(target, 1)
                 connection.in_use = True
                 if workspace:
                     self._note_use(target, workspace)
@@ -198,6 +200,10 @@
             self.discard(self._groups[target.entry.group], connection)
         return None
 
+    def _change_in_flight(self, target: Target, change: int) -> None:
+        target.average_load.advance(target.running_count, self.now())
+        target.in_flight += change
+
     def _note_use(self, target: Target, workspace: str) -> None:
         now = self.now()
         bound_connections.note_use(target, workspace, now)
@@ -261,7 +267,13 @@
         """Returns the targets that may run a statement, also busy ones, best first."""
         settings = self._settings
         return placement.candidates(
-            group, need, excluded, settings.failure_domain, self.now(), settings.drain_s
+            group,
+            need,
+            excluded,
+            settings.failure_domain,
+            self.now(),
+            settings.drain_s,
+            self._random,
         )
 
     def targets_without_connections(self, group: Group) -> list[Target]:
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -10,6 +10,7 @@
 
 from siskindale.models.catalog import GroupLimits, RegistrationState, TargetRegistration
 from siskindale.models.group import LogPosition, Role
+from siskindale.proxy.decisions.balancing import ReportedLoad, RunningAverage
 from siskindale.proxy.decisions.freshness import Freshness
 
 if TYPE_CHECKING:
@@ -30,6 +31,8 @@
     `silent_since`: since when statements have been waiting without any reply.
     `yield_until`: until when this VM leaves connections to a VM that has none.
     `idle_transaction_count`: how many of the connections in flight belong to idle transactions.
+    `average_load`: average number of statements that this VM runs there.
+    `reported_loads`: the same of other VMs that own its connections, by their names.
     `opening_workspaces`: for which workspaces connections are being opened.
     `bound_connections`: open connections by workspace, where each one serves a single workspace.
     `use_intervals`: when each workspace last ran a statement, and its usual interval in seconds.
@@ -54,6 +57,8 @@
     lacking_until: float = 0.0
     draining_since: float | None = None
     missing_since: float | None = None
+    average_load: RunningAverage = attrs.field(factory=RunningAverage)
+    reported_loads: dict[str, ReportedLoad] = attrs.field(factory=dict)
     opening_workspaces: list[str] = attrs.field(factory=list)
     bound_connections: dict[str, list[TargetConnection]] = attrs.field(factory=dict)
     use_intervals: dict[str, tuple[float, float]] = attrs.field(factory=dict)
--- a/tests/proxy/test_bound_connections.py
+++ b/tests/proxy/test_bound_connections.py
@@ -120,17 +120,23 @@
     """Guards against a workspace that opens connections to all targets of a group."""
     need = Need(LogPosition(1, 1), 1, 9.0, primary_only=False, objective_at=8.0, workspace="w")
     add(group.targets["c"], FakeConnection("w"))
-    first = placement.candidates(group, need, (), "nowhere", 0.0, 7.0)[0]
+    first = placement.candidates(group, need, (), "nowhere", 0.0, 7.0, Random(1))[0]
     assert first is group.targets["c"]
     first.in_flight = 6
-    assert placement.candidates(group, need, (), "nowhere", 0.0, 7.0)[0] is not first
+    assert placement.candidates(group, need, (), "nowhere", 0.0, 7.0, Random(1))[0] is not first
 
 
 def test_workspaces_without_connections_spread_over_replicas(group: Group) -> None:
     """Guards against all workspaces choosing the same replica after a restart."""
     chosen = {
         placement.candidates(
-            group, Need(LogPosition(1, 1), 1, 9.0, False, 8.0, f"w{number}"), (), "x", 0.0, 7.0
+            group,
+            Need(LogPosition(1, 1), 1, 9.0, False, 8.0, f"w{number}"),
+            (),
+            "x",
+            0.0,
+            7.0,
+            Random(1),
         )[0].id
         for number in range(20)
     }
--- a/tests/proxy/test_lag.py
+++ b/tests/proxy/test_lag.py
@@ -1,5 +1,7 @@
 """Tests of reads while replicas lag behind their primary."""
 
+from random import Random
+
 from siskindale.models.group import LogPosition
 from siskindale.proxy.decisions import lag, placement
 from siskindale.proxy.tables import Group, Need, Target
@@ -30,7 +32,9 @@
         excluded: set[str] = set()
         need = Need(minimum, 1, now + 1.0, primary_only=False, objective_at=now + 0.2)
         while True:
-            candidates = placement.candidates(self.group, need, excluded, "west", now, DRAIN_S)
+            candidates = placement.candidates(
+                self.group, need, excluded, "west", now, DRAIN_S, Random(1)
+            )
             if self._try(candidates[0], minimum, now):
                 return
             excluded.add(candidates[0].id)
@@ -96,5 +100,5 @@
     for name in ("b", "c"):
         lag.note_lagging(group.targets[name], group.freshness, minimum, None, now=1.0)
     group.targets["a"].avoid_until = 2.0
-    candidates = placement.candidates(group, need, (), "west", 1.1, DRAIN_S)
+    candidates = placement.candidates(group, need, (), "west", 1.1, DRAIN_S, Random(1))
     assert [target.id for target in candidates] == ["b", "c"]
--- a/tests/proxy/test_placement.py
+++ b/tests/proxy/test_placement.py
@@ -1,5 +1,7 @@
 """Tests of the choice of a target for a statement."""
 
+from random import Random
+
 import attrs
 
 from siskindale.models.catalog import RegistrationState
@@ -13,7 +15,7 @@
 
 
 def target_order(group: Group, need: Need, now: float = 1.0, domain: str = "west") -> list[str]:
-    candidates = placement.candidates(group, need, (), domain, now, DRAIN_S)
+    candidates = placement.candidates(group, need, (), domain, now, DRAIN_S, Random(1))
     return [target.id for target in candidates]
 
 
