--- a/standins/deployment/group.py
+++ b/standins/deployment/group.py
@@ -91,13 +91,17 @@
 
 @attrs.frozen
 class Execution:
-    """A read or write as a target ran it, with the session values at that time."""
+    """A read or write as a target ran it, with the session values at that time.
+
+    `workspace` is the caller that was named at the start of the connection.
+    """
 
     target: str
     request_id: bytes
     text: bytes
     shape: bytes
     values: frozenset[tuple[bytes, bytes]]
+    workspace: bytes = b""
 
 
 class TargetStandinSession:
@@ -111,12 +115,14 @@
         self._read_write = False
         self._writes: list[tuple[bytes, bytes]] = []
         self._values: dict[bytes, bytes] = {}
+        self._workspace = b""
         self._prepared: dict[bytes, tuple[bytes, bytes]] = {}
 
     def run(self) -> None:
         """Serves the connection until it is closed."""
         target = self._target
         start = self._file.readline().split()
+        self._workspace = b"".join(start[2:3])
         if start[1:2] != [target.group.name.encode()] or start[3:] not in (
             [],
             [target.id.encode()],
@@ -245,7 +251,7 @@
 
     def _record(self, request_id: bytes, text: bytes, shape: bytes) -> None:
         values = frozenset(self._values.items())
-        execution = Execution(self._target.id, request_id, text, shape, values)
+        execution = Execution(self._target.id, request_id, text, shape, values, self._workspace)
         self._target.group.executions.append(execution)
 
 
--- a/tests/proxy/deployment.py
+++ b/tests/proxy/deployment.py
@@ -35,11 +35,11 @@
 class Client:
     """A session of a client."""
 
-    def __init__(self, address: Address, database: str = DATABASE) -> None:
+    def __init__(self, address: Address, database: str = DATABASE, key: str = "test") -> None:
         self._ids = itertools.count(1)
         self._socket = socket.create_connection((address.host, address.port), WAIT_TIMEOUT_S)
         self._file = self._socket.makefile("rb")
-        self._socket.sendall(f"START {database} test\r\n".encode())
+        self._socket.sendall(f"START {database} {key}\r\n".encode())
         self.greeting = self._file.readline()
 
     def send(self, data: bytes) -> None:
@@ -92,6 +92,8 @@
         self.group = TargetGroup(GROUP)
         self.transaction_idle_ms = 3000
         self.max_connections = 16
+        self.workspaces: list[dict[str, Any]] | None = None
+        self.settings: dict[str, Any] = {}
         self.platform = PlatformStandin(free_addresses(1)[0], lambda _, t: self.group.promote(t))
         self.platform.server.start()
         self._sequence = itertools.count(1)
@@ -147,6 +149,8 @@
             "services": [{"name": GROUP, "max_conns": self.max_connections, "sync_replicas": 0}],
             "limits": {"tx_idle_ms": self.transaction_idle_ms},
         }
+        if self.workspaces is not None:
+            value["tenants"] = self.workspaces
         self.platform.put("op", "config", value)
 
     def path(self, name: str) -> Path:
@@ -169,6 +173,7 @@
             "promotions": platform,
             "seeds": [str(peers)],
             "grace_s": 4,
+            **self.settings,
         }
         path.write_text(json.dumps(settings, indent=1))
         return path, clients, readiness
@@ -223,9 +228,9 @@
         """What the proxy has logged."""
         return self.process.log.read_text()
 
-    def client(self, database: str = DATABASE) -> Client:
+    def client(self, database: str = DATABASE, key: str = "test") -> Client:
         """Opens a client session."""
-        return Client(self.clients, database)
+        return Client(self.clients, database, key)
 
 
 def eventually(condition: Any, description: str) -> Any:
