End a transaction whose key has moved to another workspace

Its statements ran on in the name of the workspace that had held the key. The test fails without the change: the write of the moved key succeeds.

--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -271,6 +271,8 @@
         if statement.verb is Verb.ROLLBACK:
             return self._rollback(transaction)
         caller = self._state.identify(transaction.route, self._key)
+        if caller.error is None and caller.workspace != transaction.workspace:
+            caller = Caller(caller.workspace, ErrorCode.UNAUTHORIZED, "key of another workspace")
         if caller.error is not None:
             return self._revoke_transaction(transaction, statement, caller)
         if statement.verb is Verb.COMMIT:
--- a/tests/proxy/test_workspaces.py
+++ b/tests/proxy/test_workspaces.py
@@ -81,6 +81,23 @@
     assert client.query("READ item").error == b"NOAUTH"
 
 
+def test_a_key_that_moves_to_another_workspace_ends_its_open_transaction(
+    deployment: Deployment, proxies: list[Proxy]
+) -> None:
+    """Guards against statements of a key that run on for the workspace that held it before."""
+    client = proxies[0].client(key="ka1")
+    client.query("BEGIN")
+    assert client.query("WRITE item 1").error is None
+    deployment.workspaces = [workspace("acme", "ka2"), workspace("brook", "kb", "ka1")]
+    deployment.configure(3)
+    eventually(lambda: "version=3" in proxies[0].log, "the catalog is in force")
+    assert client.query("WRITE item 2", "moved").error == b"NOAUTH"
+    assert client.query("ROLLBACK").error is None
+    assert client.query("READ item", "after").error is None
+    assert workspaces_of(deployment, "moved") == set()
+    assert workspaces_of(deployment, "after") == {b"brook"}
+
+
 def test_keys_are_refused_once_the_store_has_been_silent_for_too_long(
     deployment: Deployment, proxies: list[Proxy]
 ) -> None:
