--- a/tests/proxy/test_workspaces.py
+++ b/tests/proxy/test_workspaces.py
@@ -1,11 +1,14 @@
 """Callers with keys, between proxy processes and the stand-in of the platform."""
 
+import itertools
+import signal
 from typing import Any
 
 import gevent
 import pytest
 
-from tests.proxy.deployment import Deployment, Proxy, eventually
+from siskindale.membership.rendezvous import rendezvous_score
+from tests.proxy.deployment import GROUP, Deployment, Proxy, eventually
 
 REVOKE_MS = 2500
 
@@ -125,3 +128,58 @@
     assert 1 <= sum(reply.error is None for reply in replies) <= limit
     assert {reply.error for reply in replies} == {None, b"BUSY"}
     assert proxies[0].client(key="kb").query("READ item").error is None
+
+
+def workspace_of_home(home: str) -> str:
+    """Returns the name of a workspace that one of the two VMs serves in the group."""
+
+    def score(vm: str, name: str) -> int:
+        return rendezvous_score(f"{GROUP}\x00{name}", vm)
+
+    names = (f"w{number}" for number in itertools.count())
+    return next(name for name in names if home == max(("vm1", "vm2"), key=lambda v: score(v, name)))
+
+
+@pytest.mark.parametrize("lost_by", [signal.SIGKILL, signal.SIGSTOP])
+def test_another_vm_serves_a_workspace_whose_home_is_lost(
+    deployment: Deployment, proxies: list[Proxy], lost_by: signal.Signals
+) -> None:
+    """Guards against a workspace that is not served while its home is killed or paused."""
+    name = workspace_of_home("vm2")
+    deployment.workspaces = [workspace(name, "kw")]
+    deployment.configure(3)
+    eventually(lambda: "version=3" in proxies[0].log, "the catalog is in force")
+    client = proxies[0].client(key="kw")
+    assert client.query("WRITE item 1").error is None
+    proxies[1].process.signal(lost_by)
+    eventually(lambda: client.query("WRITE item 2").error is None, "the other VM serves it")
+    assert client.query("READ item", "read").rows == (b"2",)
+    assert workspaces_of(deployment, "read") == {name.encode()}
+
+
+def test_a_vm_that_was_paused_beyond_the_revocation_time_refuses_the_key(
+    deployment: Deployment, proxies: list[Proxy]
+) -> None:
+    """Guards against a VM that wakes and serves a key which was taken away while it was paused."""
+    client = proxies[0].client(key="ka1")
+    assert client.query("READ item").error is None
+    proxies[0].process.signal(signal.SIGSTOP)
+    deployment.workspaces = [workspace("acme", "ka2"), workspace("brook", "kb")]
+    deployment.configure(3)
+    gevent.sleep(REVOKE_MS / 1000 + 0.2)
+    client.send(b"QUERY woken READ item\r\n")
+    proxies[0].process.signal(signal.SIGCONT)
+    assert client.read_reply().error in (b"BUSY", b"NOAUTH")
+    assert workspaces_of(deployment, "woken") == set()
+
+
+def test_resting_transactions_of_one_workspace_do_not_hold_all_connections(
+    deployment: Deployment, proxies: list[Proxy]
+) -> None:
+    """Guards against a workspace that is starved by transactions of another, whose clients rest."""
+    resting = [proxies[number % 2].client(key="ka1") for number in range(20)]
+    for client in resting:
+        client.send(b"QUERY b BEGIN\r\nQUERY w WRITE item 1\r\n")
+    gevent.sleep(0.5)
+    other = proxies[0].client(key="kb")
+    eventually(lambda: other.query("WRITE item 2").error is None, "the other workspace is served")
