Leave targets that fail statements

A target whose health checks were good reset the connections of its statements. The share of failed statements now raises a target's cost and decays, so that a few statements find out when it has recovered; only timeouts count as latencies. The tests of the reset and of the short latency fail without the change.

--- a/siskindale/proxy/decisions/placement.py
+++ b/siskindale/proxy/decisions/placement.py
@@ -1,7 +1,7 @@
 """Choice of a target for a statement.
 
-Balances the load by latency, lag, failure domain and the statements of this VM that are already in
-flight at a target, which may have few slots.
+Balances the load by latency, lag, failures, failure domain and the statements of this VM that are
+already in flight at a target, which may have few slots.
 """
 
 from collections.abc import Iterable
@@ -23,6 +23,11 @@
 # again.
 LATENCY_HALF_LIFE_S = 2.0
 LATENCY_SAMPLE_WEIGHT = 0.2
+# A statement that fails is repeated elsewhere, or by its client, which takes several times as long
+# as a statement. The estimate decays, so that a few statements find out when the target recovers.
+FAILURE_COST_S = 0.3
+FAILURE_SAMPLE_WEIGHT = 0.15
+FAILURE_HALF_LIFE_S = 2.0
 ATTEMPT_TIMEOUT_FACTOR = 8.0
 ATTEMPT_TIMEOUT_MIN_S = 0.12
 ATTEMPT_TIMEOUT_MAX_S = 0.4
@@ -71,7 +76,7 @@
 
 
 def _cost(group: Group, target: Target, own_domain: str, now: float, random: Random) -> float:
-    cost = _expected_time(target, now, random)
+    cost = _expected_time(target, now, random) + _failure_share(target, now) * FAILURE_COST_S
     if target.entry.failure_domain != own_domain:
         cost += REMOTE_PENALTY_S
     if target.id == group.leadership.primary_id:
@@ -116,6 +121,21 @@
     return min(ATTEMPT_TIMEOUT_MAX_S, max(ATTEMPT_TIMEOUT_MIN_S, timeout_s))
 
 
+def note_result(target: Target, failed: bool, now: float) -> None:
+    """Records whether a statement failed, or broke its connection, through its target.
+
+    A target may answer health checks and probes while it fails statements.
+    """
+    known = _failure_share(target, now)
+    target.failure_share = known + FAILURE_SAMPLE_WEIGHT * (failed - known)
+    target.failure_noted_at = now
+
+
+def _failure_share(target: Target, now: float) -> float:
+    decay = 0.5 ** ((now - target.failure_noted_at) / FAILURE_HALF_LIFE_S)
+    return target.failure_share * decay
+
+
 def note_latency(target: Target, duration_s: float, now: float) -> None:
     """Records the duration of a statement."""
     known = expected_latency(target, now)
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -9,7 +9,7 @@
 from siskindale.platform import wire
 from siskindale.proxy import metrics
 from siskindale.proxy.admission import Admission
-from siskindale.proxy.connection import TargetConnection
+from siskindale.proxy.connection import ReplyTimeoutError, TargetConnection
 from siskindale.proxy.decisions import outcomes, placement, waiting
 from siskindale.proxy.decisions.freshness import required_position
 from siskindale.proxy.decisions.outcomes import Progress, StatementKind, Step
@@ -247,7 +247,9 @@
         started_at: float,
     ) -> Reply | outcomes.Decision:
         now = self._pool.now()
-        placement.note_latency(connection.target, now - started_at, now)
+        if isinstance(error, ReplyTimeoutError):
+            placement.note_latency(connection.target, now - started_at, now)
+        placement.note_result(connection.target, failed=True, now=now)
         self._pool.close_in_use(execution.group, connection)
         decision = outcomes.after_exchange_failure(execution.work, Progress.SENT)
         logger().info(
@@ -273,6 +275,8 @@
         prove_primary: bool,
     ) -> None:
         now = self._pool.now()
+        if reply.error in (None, ErrorCode.FAILED):
+            placement.note_result(connection.target, failed=reply.error is not None, now=now)
         if reply.error is None:
             placement.note_latency(connection.target, now - started_at, now)
         if reply.succeeded and (prove_primary or execution.access is Access.WRITE):
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -25,6 +25,8 @@
 class Target:
     """A target and the connections of this VM to it; times are of the suspend-aware clock.
 
+    `failure_share`: share of its latest statements that failed or got no reply, as of
+    `failure_noted_at`.
     `draining_since`: when the target was last known not to be draining.
     `missing_since`: when this VM learned that the registration is gone.
     `full_at`: when the target last refused a connection because it had none free.
@@ -48,6 +50,8 @@
     idle_transaction_count: int = 0
     latency_s: float = INITIAL_LATENCY_S
     latency_measured_at: float = 0.0
+    failure_share: float = 0.0
+    failure_noted_at: float = 0.0
     silent_since: float | None = None
     avoid_until: float = 0.0
     next_open_at: float = 0.0
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -323,6 +323,7 @@
         if reply.error is None:
             now = self._pool.now()
             placement.note_latency(connection.target, now - started_at, now)
+            placement.note_result(connection.target, failed=False, now=now)
             return reply
         decision = outcomes.after_error(work, reply.error)
         logger().info(
@@ -360,6 +361,7 @@
             reason=repr(error),
             error=decision.error.value if decision.error else "",
         )
+        placement.note_result(connection.target, failed=True, now=self._pool.now())
         self._pool.close_in_use(transaction.group, connection)
         transaction.connection = None
         return Reply(error=decision.error, detail=b"connection lost", state=SessionState.FAILED)
--- a/tests/proxy/test_placement.py
+++ b/tests/proxy/test_placement.py
@@ -43,6 +43,35 @@
     assert target_order(group, READ, now=20.0)[0] == "b"
 
 
+def test_reads_leave_a_target_that_resets_its_connections_and_return_to_it(group: Group) -> None:
+    """Guards against a target that fails statements at once and looks fast for that.
+
+    Seen at 87 VMs: a replica whose health checks were good reset the connections of statements for
+    five seconds, and its failures counted as short latencies.
+    """
+    target = group.targets["b"]
+    for _ in range(4):
+        placement.note_result(target, failed=True, now=1.0)
+    assert target_order(group, READ)[0] == "c"
+    assert target_order(group, READ, now=12.0)[0] == "b"
+
+
+def test_reads_do_not_leave_a_target_for_a_single_failure(group: Group) -> None:
+    """Guards against moving all load for one lost reply among many."""
+    target = group.targets["b"]
+    for number in range(40):
+        placement.note_result(target, failed=number == 20, now=1.0)
+    assert target_order(group, READ)[0] == "b"
+
+
+def test_a_group_whose_targets_all_fail_is_still_served(group: Group) -> None:
+    """Guards against passing over every target of a group."""
+    for target in group.targets.values():
+        for _ in range(20):
+            placement.note_result(target, failed=True, now=1.0)
+    assert sorted(target_order(group, READ)) == ["a", "b", "c"]
+
+
 def test_a_draining_replica_gets_no_statements(group: Group) -> None:
     """Guards against new work on a draining target."""
     target = group.targets["b"]
--- a/tests/proxy/test_statements.py
+++ b/tests/proxy/test_statements.py
@@ -90,6 +90,26 @@
     assert (target.in_flight, target.open_count, target.idle_connections) == (0, 0, [])
 
 
+def test_a_reset_connection_does_not_count_as_a_short_latency(
+    group: Group,
+    pool: ConnectionPool,
+    router: Router,
+    admission: Admission,
+    route: Callable[..., Route],
+) -> None:
+    """Guards against a target that resets connections and looks faster than all others."""
+    target = group.targets["a"]
+    runner = StatementRunner(pool, router, admission)
+    latest = route(consistency=Consistency.LATEST)
+    execution = StatementExecution(READ, latest, group, pool.now(), Access.READ, None)
+    target.in_flight = 1
+    known_s = target.latency_s
+    connection = target.idle_connections.pop()
+    runner._handle_broken_connection(execution, connection, ConnectionResetError(), pool.now())
+    assert target.latency_s == known_s
+    assert target.failure_share > 0
+
+
 def test_a_defect_inside_a_transaction_closes_its_connection(
     group: Group,
     pool: ConnectionPool,
