--- a/siskindale/proxy/decisions/balancing.py
+++ b/siskindale/proxy/decisions/balancing.py
@@ -18,6 +18,9 @@
 # After this time a report counts half, and the own load, as that of an average owner, the rest.
 REPORT_HALF_LIFE_S = 3.0
 REPORT_TIMEOUT_S = 6.0
+# Statements arrive unevenly, so queues form before an average fills all slots. With a smaller
+# weight, statements wait in their failure domain while slots of others are free.
+QUEUE_WEIGHT = 3.0
 
 
 @attrs.define
@@ -80,12 +83,11 @@
 def expected_time(service_s: float, load: TargetLoad, slots: int, random: Random) -> float:
     """Returns the expected time of a statement at a target, in seconds.
 
-    `service_s` is its time while slots are free. Queues form before all slots are in use, because
-    statements arrive unevenly.
+    `service_s` is its time while slots are free.
     """
     utilization = load.total / max(1, slots)
     noise = 1 + load.unseen_share * (random.expovariate(1.0) - 1)
-    return service_s * (1 + utilization**2 * noise)
+    return service_s * (1 + QUEUE_WEIGHT * utilization**2 * noise)
 
 
 def service_time(latency_s: float, average_load: float, slots: int) -> float:
