--- a/tests/proxy/test_statements.py
+++ b/tests/proxy/test_statements.py
@@ -112,10 +112,7 @@
 
 
 def test_a_timeout_under_load_does_not_count_as_a_failure(group: Group) -> None:
-    """Guards against owners that leave overloaded targets in turns, as if they were faulty.
-
-    Seen at 87 VMs in a burst: targets that timeouts counted against were left by all owners at once.
-    """
+    """Guards against owners that leave overloaded targets in turns, as if they were faulty."""
     target = group.targets["a"]
     placement.note_broken_exchange(target, 0.4, timed_out=True, now=1.0)
     assert target.failure_share == 0.0
