Count a workspace's demand at its new home once a home has moved

A former home kept its own, decaying demand for the group and ignored what the new home reported, so it admitted a part of the quota that the new home admitted too: 0.83 instead of 0.5 in the test, which fails without the change.

--- a/siskindale/proxy/admission.py
+++ b/siskindale/proxy/admission.py
@@ -91,7 +91,9 @@
             demand = self._views[workspace.name].own[group] = Demand(updated_at=now)
             row = _HomeRow(Bucket(self._quota(group, workspace, now), now), demand, now)
             self._homes[group, workspace.name] = row
-        elif now - row.adjusted_at >= ADJUST_INTERVAL_S:
+        # Another home may have served the group meanwhile.
+        self._views[workspace.name].own.setdefault(group, row.demand)
+        if now - row.adjusted_at >= ADJUST_INTERVAL_S:
             row.adjusted_at = now
             row.bucket.set_quota(self._quota(group, workspace, now), now)
         return row
--- a/siskindale/proxy/decisions/quotas.py
+++ b/siskindale/proxy/decisions/quotas.py
@@ -72,9 +72,13 @@
         return reported
 
     def hear(self, group: str, per_s: float, now: float) -> None:
-        """Records what another home has reported."""
-        if group not in self.own:
-            self.heard[group] = (per_s, now)
+        """Records what another home has reported; it may have taken over a group from this one."""
+        own = self.own.get(group)
+        if own is not None and now - own.updated_at < REPORT_TIMEOUT_S:
+            return
+        for table in (self.own, self.sent, self.counted):
+            table.pop(group, None)
+        self.heard[group] = (per_s, now)
 
     def part(self, workspace: Workspace, group: str, group_count: int, now: float) -> float:
         """Returns the part of the quota that this home admits for `group`.
--- a/tests/proxy/test_quotas.py
+++ b/tests/proxy/test_quotas.py
@@ -133,6 +133,21 @@
     assert max(largest, play(homes, flood, 10.0, 10.0)) <= limit(homes.workspace)
 
 
+def test_a_group_whose_home_has_moved_counts_at_its_new_home() -> None:
+    """Guards against a former home that ignores its successor and admits the successor's part."""
+    workspace = Workspace("w", frozenset(), rate_per_s=40.0, burst=40.0)
+    view = DemandView(own={"g1": Demand(), "g2": Demand()})
+    for tick in range(100):
+        view.own["g1"].add(tick / 10)
+    moved_at = 10.0 + quotas.REPORT_TIMEOUT_S
+    view.report(moved_at - 0.1)
+    view.hear("g2", 10.0, moved_at)
+    view.own["g1"] = Demand(per_s=10.0, updated_at=moved_at)
+    view.report(moved_at)
+    view.hear("g2", 10.0, moved_at)
+    assert view.part(workspace, "g1", 2, moved_at) == pytest.approx(0.5)
+
+
 class QuotaMachine(RuleBasedStateMachine):
     """Random demand, cuts and lowered rates; the oracle counts each sliding window."""
 
