Do not forward to a VM that has drained and ended

The log shows the stopped owner suspected at 28.94 s and gone at 31.82 s, and the client's VM trying it all the while: a suspect counts as serving, also if it was draining before. A draining VM that does not answer now counts as gone; if it still runs, it refutes that. The new test fails without the change.

--- a/siskindale/proxy/decisions/membership.py
+++ b/siskindale/proxy/decisions/membership.py
@@ -76,11 +76,16 @@
         return row.fact if row else None
 
     def suspect(self, vm: str, now: float) -> MemberFact | None:
-        """Records that a VM did not answer; returns the new fact, None if that changes nothing."""
+        """Records that a VM did not answer; returns the new fact, None if that changes nothing.
+
+        One that was draining has stopped as planned. As a suspect it would count as serving again.
+        """
         row = self.rows.get(vm)
         if row is None or row.fact.state >= MemberState.SUSPECT:
             return None
-        return self._set_row(attrs.evolve(row.fact, state=MemberState.SUSPECT), now)
+        draining = row.fact.state is MemberState.DRAINING
+        state = MemberState.GONE if draining else MemberState.SUSPECT
+        return self._set_row(attrs.evolve(row.fact, state=state), now)
 
     def expire_suspects(self, now: float) -> list[MemberFact]:
         """Declares VMs gone that did not refute their suspicion in time; returns their facts."""
--- a/tests/proxy/test_membership.py
+++ b/tests/proxy/test_membership.py
@@ -114,6 +114,20 @@
     assert [fact.vm for fact in table.others()] == ["vm2"]
 
 
+def test_a_drained_vm_that_stops_answering_takes_no_new_work_again() -> None:
+    """Guards against statements that are forwarded to a VM which has stopped as planned.
+
+    Seen in CI: suspected after it had ended, it counted as serving, and the only owner, for 2.9 s.
+    """
+    fleet = Fleet(Random(5))
+    fleet.add(4, knows_all=True)
+    observer, stopped = fleet.tables["vm1"], fleet.tables["vm2"]
+    stopped.drain(fleet.now)
+    observer.merge([stopped.own], fleet.now)
+    observer.suspect("vm2", fleet.now)
+    assert "vm2" not in [member.vm for member in observer.serving()]
+
+
 def test_each_member_is_probed_once_before_any_twice() -> None:
     """Guards against a lost VM that stays unnoticed by chance."""
     table = MemberTable(build_fact(0), Random(5))
