--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -146,9 +146,9 @@
         )
         self.record("manifest", version=version)
 
-    def add_proxies(self, count: int, zone: str = "") -> None:
-        """Starts proxies that know each other by seeds."""
-        names = [f"vm{len(self.proxies) + index}" for index in range(count)]
+    def add_proxies(self, count: int, zone: str = "", prefix: str = "vm") -> list[str]:
+        """Starts proxies that know each other by seeds; returns their names."""
+        names = [f"{prefix}{index}" for index in range(count)]
         hosts = {name: self.host() for name in names}
         ports = {name: free_ports(hosts[name], 5) for name in names}
         seeds = [f"{hosts[name]}:{ports[name][2]}" for name in names[:3]]
@@ -174,6 +174,7 @@
             }
             self.proxies[name] = Proxy(name, settings, self._folder)
             self.proxies[name].start()
+        return names
 
     async def wait_ready(self) -> None:
         """Waits until all proxies are ready and know each other."""
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -32,6 +32,10 @@
         raw = None if value is None else json.dumps(value).encode()
         self._write([(table, key, raw)])
 
+    def keys(self, table: str) -> set[str]:
+        """Returns the keys of the rows of a table."""
+        return {key for (name, key), (raw, _) in self._rows.items() if name == table and raw}
+
     def _write(self, writes: list[tuple[str, str, bytes | None]]) -> None:
         self._version += 1
         for table, key, raw in writes:
