Answer each request that a stopping proxy has taken

Cause: the drain ended 0.5 s before the end of the grace period whether sessions ran or not, and until then the listener accepted connections and sessions ran what arrived. It relied on the load balancer to stop sending, which it does not while fewer than half of its VMs are ready. An owner did not count what other VMs had forwarded to it at all.

Change: a shutdown has phases, decided by decisions/draining.py. Owners count and decline forwarded work.

--- a/siskindale/proxy/connection.py
+++ b/siskindale/proxy/connection.py
@@ -1,5 +1,6 @@
 """Connections to targets and the exchange of messages on them."""
 
+import contextlib
 import socket as system_socket
 from collections.abc import Iterable
 
@@ -108,6 +109,12 @@
         self.closed = True
         self._socket.close()
 
+    def abort(self) -> None:
+        """Breaks the connection off; a greenlet that waits for its reply gets an error."""
+        # The target may have closed it first.
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(system_socket.SHUT_RDWR)
+
     def rest(self) -> None:
         """Records that its transaction waits for the client."""
         self.resting = True
--- a/siskindale/proxy/forwarding.py
+++ b/siskindale/proxy/forwarding.py
@@ -47,10 +47,11 @@
 
 @attrs.frozen
 class Forwarding:
-    """Runners that forward statements outside and inside transactions."""
+    """Runners that forward statements outside and inside transactions, over the same links."""
 
     statements: ForwardingStatementRunner
     transactions: ForwardingTransactionRunner
+    links: Links
 
 
 def create_forwarding(ownership: Ownership, state: ProxyState, clock: Clock) -> Forwarding:
@@ -58,7 +59,9 @@
     links = Links(clock)
     selector = OwnerSelector(ownership, links)
     return Forwarding(
-        ForwardingStatementRunner(selector, state), ForwardingTransactionRunner(selector, state)
+        ForwardingStatementRunner(selector, state),
+        ForwardingTransactionRunner(selector, state),
+        links,
     )
 
 
@@ -84,6 +87,11 @@
                 logger().info("owner-unreachable", owner=member.vm, reason=str(error))
         return None
 
+    @property
+    def closed(self) -> bool:
+        """Whether no owner can be reached any more because the VM stops."""
+        return self._links.closed
+
     def note_broken(self, member: MemberFact) -> None:
         """Passes an owner over for a while after its link broke."""
         self._links.avoid(member.forwarding)
@@ -100,6 +108,8 @@
         """Forwards a statement until it has a reply or its deadline has passed."""
         excluded: set[str] = set()
         while (remaining_s := execution.deadline - self._state.now()) > REPLY_RESERVE_S:
+            if self._selector.closed:
+                break
             found = self._selector.link(execution.group, execution.workspace, excluded)
             if found is None:
                 excluded.clear()
@@ -258,6 +268,8 @@
         excluded: set[str] = set()
         deadline = self._state.now() + transaction.route.timeout_s
         while transaction.link is None and self._state.now() < deadline:
+            if self._selector.closed:
+                return
             found = self._selector.link(transaction.group, transaction.workspace, excluded)
             if found is None:
                 excluded.clear()
--- a/siskindale/proxy/links.py
+++ b/siskindale/proxy/links.py
@@ -148,9 +148,23 @@
         self._clock = clock
         self._links: dict[Address, Link] = {}
         self._avoid_until: dict[Address, float] = {}
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether no more links are opened because the VM stops."""
+        return self._closed
+
+    def close(self, reason: str) -> None:
+        """Breaks all links for good; requests in flight fail."""
+        self._closed = True
+        for link in self._links.values():
+            link.close(reason)
 
     def get(self, address: Address) -> Link:
         """Returns the link to a VM; raises `LinkUnavailableError`."""
+        if self._closed:
+            raise LinkUnavailableError("the VM stops")
         link = self._links.get(address)
         if link is not None and not link.broken:
             return link
--- a/siskindale/proxy/metrics.py
+++ b/siskindale/proxy/metrics.py
@@ -16,6 +16,9 @@
     LATENCY_BUCKETS_S,
 )
 RETRIES = Metric("siskindale_retries", "Attempts that were repeated, by reason", ("reason",))
+INTERRUPTED = Metric(
+    "siskindale_interrupted", "Requests and transactions interrupted by a shutdown"
+).labels()
 SESSIONS = Metric("siskindale_sessions", "Open client sessions", gauge=True).labels()
 CONNECTIONS_OPENED = Metric(
     "siskindale_connections_opened", "Attempts to open a connection to a target", ("outcome",)
--- a/siskindale/proxy/owner.py
+++ b/siskindale/proxy/owner.py
@@ -1,5 +1,6 @@
 """Serves the statements that other VMs forward to this one as an owner of connections."""
 
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -49,6 +50,8 @@
         self._state = state
         self._ownership = ownership
         self._runners = runners
+        self._links: set[_ServedLink] = set()
+        self._refusing = False
         address = settings.forwarding
         self._server = StreamServer((address.host, address.port), self._serve)
 
@@ -56,8 +59,41 @@
         """Starts to accept links."""
         self._server.start()
 
+    @property
+    def unfinished_count(self) -> int:
+        """Number of statements that run, and of open transactions."""
+        return sum(link.unfinished_count for link in self._links)
+
+    def refuse_requests(self) -> None:
+        """Declines further statements and transactions, so that they go to another owner."""
+        self._refusing = True
+
+    def abort_transactions(self) -> None:
+        """Rolls back the transactions that run no statement at the moment."""
+        for link in list(self._links):
+            link.abort_transactions("shutdown of the owner")
+
+    def served_group(self, route: Route) -> Group | None:
+        """Returns the group of a route, None if this VM cannot serve it."""
+        group = self._state.groups.get(route.group)
+        known = group is not None and (bool(group.targets) or self._ownership.owns(group))
+        if known and not self._refusing:
+            return group
+        logger().info(
+            "forwarding-declined",
+            group=route.group,
+            known=group is not None,
+            refusing=self._refusing,
+        )
+        return None
+
     def _serve(self, sock: socket.socket, _: Any) -> None:
-        _ServedLink(sock, self._vm, self._state, self._ownership, self._runners).run()
+        link = _ServedLink(sock, self._vm, self._state, self._runners, self.served_group)
+        self._links.add(link)
+        try:
+            link.run()
+        finally:
+            self._links.discard(link)
 
 
 class _ServedLink:
@@ -68,16 +104,30 @@
         sock: socket.socket,
         vm: str,
         state: ProxyState,
-        ownership: Ownership,
         runners: Runners,
+        served_group: Callable[[Route], Group | None],
     ) -> None:
         self._stream = FrameStream(sock)
         self._vm = vm
         self._state = state
-        self._ownership = ownership
+        self._served_group = served_group
         self._statements = runners.statements
         self._transactions = runners.transactions
         self._open: dict[int, Transaction] = {}
+        self._running_count = 0
+
+    @property
+    def unfinished_count(self) -> int:
+        """Number of statements that run, and of open transactions that have not failed."""
+        open_count = sum(not transaction.failed for transaction in self._open.values())
+        return self._running_count + open_count
+
+    def abort_transactions(self, reason: str) -> None:
+        """Rolls back the transactions that run no statement at the moment."""
+        for transaction in self._open.values():
+            if not transaction.running and not transaction.failed:
+                logger().info("transaction-aborted", reason=reason)
+                self._fail(transaction)
 
     def run(self) -> None:
         """Serves the link until it ends, then rolls back what it has left open."""
@@ -112,9 +162,9 @@
 
     def _handle(self, number: int, body: Body) -> None:
         if isinstance(body, ForwardedStatement):
-            gevent.spawn(self._run_statement, number, body)
+            gevent.spawn(self._count_running, self._run_statement, number, body)
         elif isinstance(body, ForwardedStep):
-            gevent.spawn(self._run_step, number, body)
+            gevent.spawn(self._count_running, self._run_step, number, body)
         elif isinstance(body, ForwardedBegin):
             self._begin(body)
         elif isinstance(body, ForwardedEnd):
@@ -124,6 +174,13 @@
         elif isinstance(body, LinkProbe):
             self._send(body, number)
 
+    def _count_running(self, run: Callable[[int, Any], None], number: int, body: Body) -> None:
+        self._running_count += 1
+        try:
+            run(number, body)
+        finally:
+            self._running_count -= 1
+
     def _run_statement(self, number: int, body: ForwardedStatement) -> None:
         group = self._served_group(body.route)
         values = restore(body.session)
@@ -143,14 +200,6 @@
         )
         self._reply(number, self._statements.run(execution, values))
 
-    def _served_group(self, route: Route) -> Group | None:
-        """Returns the group of a route, None if this VM cannot serve it."""
-        group = self._state.groups.get(route.group)
-        if group is not None and (group.targets or self._ownership.owns(group)):
-            return group
-        logger().info("forwarding-declined", group=route.group, known=group is not None)
-        return None
-
     def _begin(self, body: ForwardedBegin) -> None:
         group = self._served_group(body.route)
         if group is None:
--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -63,6 +63,23 @@
         self._notify_peers = notify_peers
         self._read_registrations = read_registrations
         self._random = Random()
+        self._in_use: set[TargetConnection] = set()
+        self._interrupted = False
+
+    @property
+    def interrupted(self) -> bool:
+        """Whether statements are refused because the VM stops."""
+        return self._interrupted
+
+    def interrupt(self) -> None:
+        """Ends all statements: those that wait are refused, those that run lose the connection."""
+        self._interrupted = True
+        for group in self._groups.values():
+            waiters, group.waiters[:] = group.waiters[:], []
+            for waiter in waiters:
+                waiter.result.set(None)
+        for connection in list(self._in_use):
+            connection.abort()
 
     def reload(self, settings: ProxySettings) -> None:
         """Applies changed settings."""
@@ -75,7 +92,9 @@
     def acquire(
         self, group: Group, need: Need, excluded: Iterable[str] = ()
     ) -> TargetConnection | None:
-        """Returns an idle connection that meets `need`, or None at the deadline."""
+        """Returns an idle connection that meets `need`, None at the deadline or if interrupted."""
+        if self._interrupted:
+            return None
         waiter = Waiter(need, set(excluded), AsyncResult())
         connection = self._acquire_without_waiting(group, waiter)
         if connection is not None:
@@ -87,7 +106,7 @@
         except gevent.Timeout:
             return waiter.result.value
         except BaseException:
-            if waiter.result.ready():
+            if waiter.result.value is not None:
                 self.release(group, waiter.result.value)
             raise
         finally:
@@ -98,6 +117,7 @@
         """Returns a connection to the pool, or closes it if it can't be reused."""
         target = connection.target
         self._change_in_flight(target, -1)
+        self._in_use.discard(connection)
         unusable = connection.state is not SessionState.IDLE or not connection.reusable
         if target.closed or unusable or connections.must_yield(target, self.now()):
             self.discard(group, connection)
@@ -112,6 +132,7 @@
         """Closes a connection that is in use."""
         target = connection.target
         self._change_in_flight(target, -1)
+        self._in_use.discard(connection)
         if not target.in_flight:
             target.silent_since = None
         self.discard(group, connection)
@@ -194,6 +215,7 @@
             if connection.reusable:
                 self._change_in_flight(target, 1)
                 connection.in_use = True
+                self._in_use.add(connection)
                 if workspace:
                     self._note_use(target, workspace)
                 return connection
@@ -293,6 +315,8 @@
 
     def cannot_be_served(self, group: Group, need: Need) -> bool:
         """Returns whether a new statement would not get its reply before its deadline."""
+        if self._interrupted:
+            return True
         if not group.waiters:
             return False
         now = self.now()
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -35,7 +35,7 @@
 from siskindale.proxy.routing import Router
 from siskindale.proxy.runners import Runners
 from siskindale.proxy.server import SessionServer, metrics_server, readiness_server
-from siskindale.proxy.shutdown import drain
+from siskindale.proxy.shutdown import Drain
 from siskindale.proxy.single import StatementRunner
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group
@@ -46,6 +46,7 @@
 
 if TYPE_CHECKING:
     from siskindale.proxy.forwarding import Forwarding
+    from siskindale.proxy.owner import ForwardingServer
 
 # By then, sessions that were waiting at the start have their first connections to targets.
 LOG_SETUP_DELAY_S = 0.3
@@ -112,6 +113,7 @@
             self._owns_any,
         )
         self._forwarding_runners: Forwarding | None = None
+        self._forwarding_server: ForwardingServer | None = None
         self._runners = self._build_runners()
         self._failover = Failover(
             settings,
@@ -155,6 +157,7 @@
 
         server = ForwardingServer(self._settings, self._state, self._ownership, self._runners)
         server.start()
+        self._forwarding_server = server
         logger().info("forwarding-served", members=len(self._membership.table.serving()))
 
     def _forwards_any(self) -> bool:
@@ -218,9 +221,16 @@
         self._membership.drain()
         self._peers.draining = True
         self._peers.announce()
-        drain(self._settings, self._server, self._clock.monotonic())
+        servers = (self._server, self._forwarding_server)
+        Drain(self._settings, self._clock, *servers, self._interrupt).run()
         logger().info("stopped")
 
+    def _interrupt(self) -> None:
+        """Ends all statements with an error that is true of them."""
+        self._pool.interrupt()
+        if self._forwarding_runners is not None:
+            self._forwarding_runners.links.close("shutdown")
+
     def _is_ready(self) -> bool:
         ready = self._state.ready and self._directory.settled
         return ready and not self._stopping.is_set()
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -1,5 +1,6 @@
 """Servers of the session proxy: client sessions, readiness and metrics."""
 
+import itertools
 import socket as system_socket
 from collections.abc import Callable
 from typing import Any
@@ -32,6 +33,7 @@
         self._state = state
         self._runners = runners
         self._sessions: set[ClientSession] = set()
+        self._refusing = False
         opened = listener or _listen_for_clients(address)
         self._server = StreamServer(socket.socket(fileno=opened.detach()), self._serve)
 
@@ -40,12 +42,37 @@
         """Open sessions."""
         return self._sessions
 
+    @property
+    def unfinished_count(self) -> int:
+        """Number of sessions, without those that have sent nothing yet."""
+        return sum(session.started for session in self._sessions)
+
     def start(self) -> None:
         """Starts to accept connections."""
         self._server.start()
 
+    def close_idle(self, quota: int) -> None:
+        """Closes at most `quota` sessions that wait for a request."""
+        idle = (session for session in list(self._sessions) if session.close_if_idle())
+        for _ in itertools.islice(idle, quota):
+            pass
+
+    def refuse_requests(self) -> None:
+        """Accepts no more connections, and refuses the next request of each session."""
+        self._refusing = True
+        self._server.close()
+        for session in self._sessions:
+            session.refuse_requests()
+
+    def abort_transactions(self) -> None:
+        """Rolls back the transactions of sessions that run no statement at the moment."""
+        for session in list(self._sessions):
+            session.abort_transaction("shutdown")
+
     def _serve(self, sock: socket.socket, _: Any) -> None:
         session = ClientSession(sock, self._state, self._runners)
+        if self._refusing:
+            session.refuse_requests()
         self._sessions.add(session)
         metrics.SESSIONS.inc()
         try:
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -49,6 +49,7 @@
 class Phase(enum.Enum):
     """Activity of a session; only a session that waits for a request can be shut down."""
 
+    CONNECTED = "connected"
     STARTING = "starting"
     WAITING = "waiting"
     RUNNING = "running"
@@ -68,23 +69,28 @@
         self._position: LogPosition | None = None
         self._transaction: Transaction | None = None
         self._transaction_runner: AnyTransactionRunner
-        self._phase = Phase.STARTING
+        self._phase = Phase.CONNECTED
+        self._refusing = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the client has sent anything."""
+        return self._phase is not Phase.CONNECTED or self._has_input
 
     @property
     def idle(self) -> bool:
         """Whether no statement runs, no transaction is open and no request has arrived."""
-        return (
-            self._phase is Phase.WAITING
-            and self._transaction is None
-            and not self._reader.has_unread_bytes
-            and peek_socket(self._socket) is not PeekResult.DATA
-        )
+        return self._phase is Phase.WAITING and self._transaction is None and not self._has_input
 
     @property
     def in_transaction(self) -> bool:
         """Whether a transaction is open."""
         return self._transaction is not None
 
+    @property
+    def _has_input(self) -> bool:
+        return self._reader.has_unread_bytes or peek_socket(self._socket) is PeekResult.DATA
+
     def run(self) -> None:
         """Serves the client until either side closes the session."""
         self._socket.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
@@ -107,6 +113,13 @@
         self._socket.shutdown(system_socket.SHUT_RDWR)
         return True
 
+    def refuse_requests(self) -> None:
+        """Refuses requests from now on, but for those of an open transaction.
+
+        The session ends once it has no request to answer.
+        """
+        self._refusing = True
+
     def abort_transaction(self, reason: str) -> None:
         """Rolls back an open transaction unless one of its statements is running."""
         transaction = self._transaction
@@ -121,6 +134,7 @@
             line = self._reader.read_line()
         if line is None:
             return False
+        self._phase = Phase.STARTING
         start = wire.decode_start(line)
         self._database, self._key = start.database, start.key
         self._state.wait_for_catalog(CATALOG_TIMEOUT_S)
@@ -128,6 +142,9 @@
         if not self._state.has_catalog:
             self._refuse_start(ErrorCode.OVERLOADED, b"no configuration yet")
             return False
+        if self._refusing:
+            self._refuse_start(ErrorCode.OVERLOADED, b"shutdown")
+            return False
         route = self._state.route(self._database)
         if route is None:
             self._refuse_start(ErrorCode.UNKNOWN_DATABASE, self._database.encode())
@@ -149,7 +166,7 @@
         self._send(wire.encode_error(code, detail))
 
     def _serve(self) -> None:
-        while True:
+        while not self._finished:
             line = self._await_request()
             if line is None:
                 return
@@ -162,6 +179,11 @@
             self._report_reply(statement, reply, arrived_at)
             self._end_failed_transaction()
 
+    @property
+    def _finished(self) -> bool:
+        """Whether a session that refuses requests has none left to answer."""
+        return self._refusing and self._transaction is None and not self._has_input
+
     def _report_reply(self, statement: Statement, reply: Reply, arrived_at: float) -> None:
         state = self._state
         route = state.route(self._database)
@@ -197,6 +219,8 @@
     def _handle_statement(self, statement: Statement, arrived_at: float) -> Reply:
         if self._transaction is not None:
             return self._handle_in_transaction(statement)
+        if self._refusing:
+            return Reply(error=ErrorCode.OVERLOADED, detail=b"shutdown")
         return self._handle_outside_transaction(statement, arrived_at)
 
     def _handle_outside_transaction(self, statement: Statement, arrived_at: float) -> Reply:
--- a/siskindale/proxy/shutdown.py
+++ b/siskindale/proxy/shutdown.py
@@ -1,48 +1,94 @@
-"""Graceful shutdown: closes sessions so that clients move to other VMs without lost requests."""
+"""Graceful shutdown: moves sessions to other VMs, and answers each request that was taken."""
+
+from collections.abc import Callable
+from typing import Protocol
 
 import gevent
 
+from siskindale.context import Clock
 from siskindale.models.vm import ProxySettings
+from siskindale.proxy import metrics
+from siskindale.proxy.decisions.draining import DrainPhase, closing_quota, next_phase
 from siskindale.proxy.server import SessionServer
 from siskindale.runtime.logs import logger
 
-# The load balancer probes once a second and stops sending clients after two failed probes.
-BALANCER_STOP_S = 2.2
-# Share of the grace period in which open transactions may end by themselves.
-TRANSACTION_GRACE_SHARE = 0.5
-# The process exits this long before the end of the grace period, when it would be killed.
-EXIT_MARGIN_S = 0.5
-CLOSE_INTERVAL_S = 0.05
-
-
-def drain(settings: ProxySettings, server: SessionServer, now: float) -> None:
-    """Closes idle sessions at an even rate, then rolls back transactions and awaits the rest."""
-    started = now
-    transaction_grace_s = settings.grace_s * TRANSACTION_GRACE_SHARE
-    drain_limit_s = settings.grace_s - EXIT_MARGIN_S
-    elapsed = 0.0
-    while elapsed < drain_limit_s and (server.sessions or elapsed < BALANCER_STOP_S):
-        _close_idle_share(server, elapsed, transaction_grace_s)
-        if elapsed >= transaction_grace_s:
-            _abort_transactions(server)
-        gevent.sleep(CLOSE_INTERVAL_S)
-        elapsed += CLOSE_INTERVAL_S
-    logger().info(
-        "drained", sessions=len(server.sessions), took_ms=round((elapsed) * 1000), since=started
-    )
-
-
-def _close_idle_share(server: SessionServer, elapsed: float, duration_s: float) -> None:
-    """Closes as many idle sessions as keep the rate even until `duration_s` after the start."""
-    remaining_rounds = max(1.0, (duration_s - elapsed) / CLOSE_INTERVAL_S)
-    quota = -(-len(server.sessions) // int(remaining_rounds))
-    for session in list(server.sessions):
-        if quota <= 0:
-            return
-        quota -= session.close_if_idle()
+TICK_S = 0.05
+
+
+class DrainingServer(Protocol):
+    """A server that takes requests, of clients or of other VMs."""
+
+    @property
+    def unfinished_count(self) -> int:
+        """Number of requests and open transactions, or of sessions that may have some."""
+
+    def refuse_requests(self) -> None:
+        """Takes no more requests; those that arrive are refused."""
+
+    def abort_transactions(self) -> None:
+        """Rolls back the transactions that run no statement at the moment."""
 
 
-def _abort_transactions(server: SessionServer) -> None:
-    for session in list(server.sessions):
-        if session.in_transaction:
-            session.abort_transaction("shutdown")
+class Drain:
+    """A shutdown in progress.
+
+    `sessions` serves the clients of this VM, `forwarding` other VMs. `interrupt` makes all
+    statements that still wait or run return an error.
+    """
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        clock: Clock,
+        sessions: SessionServer,
+        forwarding: DrainingServer | None,
+        interrupt: Callable[[], None],
+    ) -> None:
+        self._grace_s = settings.grace_s
+        self._clock = clock
+        self._sessions = sessions
+        self._servers: list[DrainingServer] = [sessions]
+        if forwarding is not None:
+            self._servers.append(forwarding)
+        self._interrupt = interrupt
+        self._started_at = clock.monotonic()
+        self._phase = DrainPhase.SERVING
+
+    def run(self) -> None:
+        """Returns once all requests are answered, or the grace period is nearly over."""
+        while self._phase is not DrainPhase.ENDED:
+            self._work()
+            gevent.sleep(TICK_S)
+            self._advance()
+        logger().info(
+            "drained",
+            sessions=self._unfinished_count,
+            took_ms=round((self._clock.monotonic() - self._started_at) * 1000),
+        )
+
+    @property
+    def _unfinished_count(self) -> int:
+        return sum(server.unfinished_count for server in self._servers)
+
+    def _work(self) -> None:
+        elapsed_s = self._clock.monotonic() - self._started_at
+        count = self._sessions.unfinished_count
+        self._sessions.close_idle(closing_quota(count, elapsed_s, self._grace_s, TICK_S))
+        if self._phase is not DrainPhase.SERVING:
+            for server in self._servers:
+                server.abort_transactions()
+
+    def _advance(self) -> None:
+        elapsed_s = self._clock.monotonic() - self._started_at
+        unfinished_count = self._unfinished_count
+        phase = next_phase(self._phase, elapsed_s, self._grace_s, unfinished_count)
+        if phase is self._phase:
+            return
+        self._phase = phase
+        logger().info("drain-phase", phase=phase.value, unfinished=unfinished_count)
+        if phase is DrainPhase.FINISHING:
+            for server in self._servers:
+                server.refuse_requests()
+        elif phase is DrainPhase.INTERRUPTING:
+            metrics.INTERRUPTED.inc(unfinished_count)
+            self._interrupt()
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -194,7 +194,7 @@
             )
             connection = self._pool.acquire(transaction.group, need, excluded)
             if connection is None:
-                if self._pool.now() < deadline:
+                if self._pool.now() < deadline and not self._pool.interrupted:
                     self._router.reset_exhausted_exclusions(transaction.group, excluded)
                     continue
                 logger().info(
