Keep the position of a session's last commit for each group

Cause: the session kept one position for all groups. A commit in the second group replaced it, and reads in the first one were compared with a position of another log, so that a replica without the commit served them.

Change: SessionPositions keeps one position a group; transactions use and record that of their own group, and forwarded statements carry it.

--- a/siskindale/proxy/decisions/session_state.py
+++ b/siskindale/proxy/decisions/session_state.py
@@ -5,6 +5,7 @@
 import attrs
 import xxhash
 
+from siskindale.models.group import LogPosition
 from siskindale.models.statements import Access, PreparedStatement, Statement, Verb
 
 
@@ -34,6 +35,25 @@
         return None if prepared is None else prepared.access
 
 
+@attrs.define
+class SessionPositions:
+    """Positions of a session's last commit in each group that its route has led to.
+
+    Positions of two groups belong to different logs and cannot be compared.
+    """
+
+    _by_group: dict[str, LogPosition] = attrs.field(factory=dict)
+
+    def of(self, group: str) -> LogPosition | None:
+        """Returns the position that reads of the session in a group must see, if there is one."""
+        return self._by_group.get(group)
+
+    def record_commit(self, group: str, position: LogPosition | None) -> None:
+        """Records the end of a group's log after a commit of the session."""
+        if position is not None:
+            self._by_group[group] = position
+
+
 @attrs.define
 class ConnectionValues:
     """Values that are set on a connection to a target, and prepared statements by shared names."""
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -10,7 +10,6 @@
 from gevent import socket
 
 from siskindale.models.catalog import Route
-from siskindale.models.group import LogPosition
 from siskindale.models.statements import (
     Access,
     ErrorCode,
@@ -23,7 +22,7 @@
 from siskindale.platform import wire
 from siskindale.proxy.decisions.identity import Caller
 from siskindale.proxy.decisions.outcomes import StatementKind
-from siskindale.proxy.decisions.session_state import SessionValues
+from siskindale.proxy.decisions.session_state import SessionPositions, SessionValues
 from siskindale.proxy.reporting import report_statement
 from siskindale.proxy.runners import Runners
 from siskindale.proxy.single import StatementExecution
@@ -66,7 +65,7 @@
         self._database = ""
         self._key = ""
         self._values = SessionValues()
-        self._position: LogPosition | None = None
+        self._positions = SessionPositions()
         self._transaction: Transaction | None = None
         self._transaction_runner: AnyTransactionRunner
         self._phase = Phase.CONNECTED
@@ -265,7 +264,7 @@
         )
         self._transaction_runner = self._runners.transactions_for(group, workspace)
         self._transaction_runner.begin_in_background(
-            self._transaction, self._values, self._position
+            self._transaction, self._values, self._positions.of(group.name)
         )
         return Reply(receipt=_LOCAL_RECEIPT, state=SessionState.OPEN)
 
@@ -276,19 +275,15 @@
         if access is None:
             return Reply(error=ErrorCode.UNKNOWN_PREPARED, detail=statement.name)
         group = self._state.group(route)
+        position = self._positions.of(group.name)
         execution = StatementExecution(
-            statement, route, group, arrived_at, access, self._position, workspace=workspace
+            statement, route, group, arrived_at, access, position, workspace=workspace
         )
         reply = self._runners.statements_for(group, workspace).run(execution, self._values)
         if reply.succeeded and access is Access.WRITE:
-            self._record_commit(reply)
+            self._positions.record_commit(group.name, reply.position)
         return reply
 
-    def _record_commit(self, reply: Reply) -> None:
-        """Records the log position of a commit, which later reads of the session must see."""
-        if reply.position is not None:
-            self._position = reply.position
-
     def _handle_in_transaction(self, statement: Statement) -> Reply:
         transaction = self._transaction
         assert transaction is not None
@@ -341,15 +336,19 @@
     def _run_in_transaction(
         self, transaction: Transaction, statement: Statement, work: StatementKind
     ) -> Reply:
-        reply = self._transaction_runner.run(
-            transaction, self._values, self._position, statement, work
-        )
+        reply = self._run_statement(transaction, statement, work)
         if work is StatementKind.TRANSACTION_WRITE:
             transaction.wrote = True
         if reply.error is not None:
             return self._mark_failed(transaction, reply)
         return reply
 
+    def _run_statement(
+        self, transaction: Transaction, statement: Statement, work: StatementKind
+    ) -> Reply:
+        position = self._positions.of(transaction.group.name)
+        return self._transaction_runner.run(transaction, self._values, position, statement, work)
+
     def _mark_failed(self, transaction: Transaction, reply: Reply) -> Reply:
         transaction.failed = True
         transaction.failure_reported = True
@@ -366,16 +365,10 @@
         if transaction.failed:
             self._transaction_runner.end(transaction)
             return Reply(error=ErrorCode.ABORTED, detail=b"transaction failed")
-        reply = self._transaction_runner.run(
-            transaction,
-            self._values,
-            self._position,
-            statement,
-            transaction.kind_of(statement, None),
-        )
+        reply = self._run_statement(transaction, statement, transaction.kind_of(statement, None))
         self._transaction_runner.end(transaction)
         if reply.succeeded and transaction.wrote:
-            self._record_commit(reply)
+            self._positions.record_commit(transaction.group.name, reply.position)
         reply.state = SessionState.IDLE
         return reply
 
--- a/tests/proxy/conftest.py
+++ b/tests/proxy/conftest.py
@@ -78,5 +78,6 @@
     deployment = Deployment(processes, tmp_path)
     yield deployment
     deployment.platform.server.stop()
-    for target in deployment.group.targets.values():
-        target.crash()
+    for group in deployment.groups.values():
+        for target in group.targets.values():
+            target.crash()
--- a/tests/proxy/deployment.py
+++ b/tests/proxy/deployment.py
@@ -94,7 +94,10 @@
         self.max_connections = 16
         self.workspaces: list[dict[str, Any]] | None = None
         self.settings: dict[str, Any] = {}
-        self.platform = PlatformStandin(free_addresses(1)[0], lambda _, t: self.group.promote(t))
+        self.groups = {GROUP: self.group}
+        self.platform = PlatformStandin(
+            free_addresses(1)[0], lambda group, target: self.groups[group].promote(target)
+        )
         self.platform.server.start()
         self._sequence = itertools.count(1)
         for index, address in enumerate(free_addresses(3)):
@@ -102,16 +105,25 @@
         self.register_all()
         self.configure(1)
 
+    def add_group(self, name: str) -> TargetGroup:
+        """Adds a group of three targets, which the next configuration lists."""
+        group = self.groups[name] = TargetGroup(name)
+        for index, address in enumerate(free_addresses(3)):
+            group.add(f"{name}-t{index}", address, primary=index == 0, max_connections=16)
+        self.register_all()
+        return group
+
     def register_all(self) -> None:
         """Writes the registration of each running target."""
-        for target in self.group.targets.values():
-            if target.server is not None:
-                self.register(target)
+        for group in self.groups.values():
+            for target in group.targets.values():
+                if target.server is not None:
+                    self.register(target)
 
     def register(self, target: TargetStandin, state: str = "ready") -> None:
         """Writes a target's registration."""
         value = {
-            "service": GROUP,
+            "service": target.group.name,
             "address": str(target.address),
             "zone": target.id,
             "version": "v1",
@@ -139,7 +151,6 @@
             "bounded": {"kind": "bounded_staleness"},
             **routes,
         }
-        replicas = self.group.synchronous_replicas
         value = {
             "version": version,
             "routes": [
@@ -148,7 +159,12 @@
                 if fields is not None
             ],
             "services": [
-                {"name": GROUP, "max_conns": self.max_connections, "sync_replicas": replicas}
+                {
+                    "name": group.name,
+                    "max_conns": self.max_connections,
+                    "sync_replicas": group.synchronous_replicas,
+                }
+                for group in self.groups.values()
             ],
             "limits": {"tx_idle_ms": self.transaction_idle_ms},
         }
--- a/tests/proxy/test_session_state.py
+++ b/tests/proxy/test_session_state.py
@@ -3,11 +3,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from siskindale.models.group import LogPosition
 from siskindale.models.statements import Access, PreparedStatement, Statement, Verb
 from siskindale.proxy.decisions.session_state import (
     ConnectionValues,
     Prepare,
     Reset,
+    SessionPositions,
     SessionValues,
     SetValue,
     preparation_steps,
@@ -77,3 +79,13 @@
     assert not values.adds_to(Statement(b"1", Verb.PREPARE, b"", b"s", b"y", Access.READ))
     assert not values.adds_to(Statement(b"1", Verb.DEALLOCATE, b"", b"t"))
     assert values.count == 2
+
+
+def test_the_position_of_a_commit_is_kept_for_each_group() -> None:
+    """Guards against a commit that is forgotten, or taken for one of another group's log."""
+    positions = SessionPositions()
+    positions.record_commit("north", LogPosition(1, 200))
+    positions.record_commit("south", LogPosition(1, 3))
+    assert positions.of("north") == LogPosition(1, 200)
+    assert positions.of("south") == LogPosition(1, 3)
+    assert positions.of("west") is None
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -1,8 +1,9 @@
 """Client sessions through a proxy process, with the stand-in of the platform."""
 
+import gevent
 import pytest
 
-from tests.proxy.deployment import Deployment, eventually
+from tests.proxy.deployment import Deployment, Proxy, eventually
 
 
 def test_reads_and_writes_carry_the_receipts_of_the_target(deployment: Deployment) -> None:
@@ -31,6 +32,40 @@
         assert client.query("READ item").rows == (b"%d" % number,)
 
 
+def wait_until_adopted(proxy: Proxy, version: int) -> None:
+    """Waits until a proxy uses a version of the configuration."""
+    words = {"event=catalog-adopted", f"version={version}"}
+    eventually(
+        lambda: any(words <= set(line.split()) for line in proxy.log.splitlines()),
+        f"version {version} is adopted",
+    )
+
+
+def test_a_session_sees_its_own_commits_after_its_route_moved_to_a_group_and_back(
+    deployment: Deployment,
+) -> None:
+    """Guards against reads that are judged by the session's commit in another group's log."""
+    away = {"kind": "read_own", "service": deployment.add_group("g2").name}
+    back = {"kind": "read_own"}
+    # The proxy prefers targets in its own failure domain, so the primary is in another one here.
+    deployment.group.promote("t1")
+    deployment.group.lag_s = 0.6
+    deployment.configure(2)
+    proxy = deployment.start_proxy()
+    client, feed = proxy.client("own"), proxy.client()
+    for turn in range(3):
+        for _ in range(20):
+            assert feed.query("WRITE other 1").error is None
+            gevent.sleep(0.04)
+        assert client.query(f"WRITE item {turn}").error is None
+        for version, route, text in ((10, away, "WRITE item 9"), (11, back, "READ item")):
+            deployment.configure(version + 10 * turn, own=route)
+            wait_until_adopted(proxy, version + 10 * turn)
+            reply = client.query(text)
+            assert reply.error is None
+        assert reply.rows == (b"%d" % turn,)
+
+
 def test_bounded_reads_are_served_by_replicas(deployment: Deployment) -> None:
     """Guards against reads that all go to the primary."""
     # The proxy prefers targets in its own failure domain, so the primary is in another one here.
