Check entries of other writers where they are decoded

Cause: entries were kept and sent to peers as they were. Integers over 64 bits and lone surrogates cannot be encoded for a peer, and the exception ended the follower of registrations in every VM.

Change: text, integers, words and addresses are checked while decoding, and peers get what was decoded, in the same form. The same for rows of members, for addresses in messages, and for numbers of a configuration.

--- a/siskindale/platform/entries.py
+++ b/siskindale/platform/entries.py
@@ -22,6 +22,19 @@
 )
 from siskindale.models.group import Role
 
+# Entries may come from other writers. Whatever is decoded has to fit into messages between VMs.
+MAX_INTEGER = 2**63 - 1
+MAX_TEXT_BYTES = 200
+# Raised for a value of another type or outside its range.
+_DECODE_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
 CATALOG_TABLE = "op"
 CATALOG_KEY = "config"
 TARGETS_TABLE = "servers"
@@ -52,8 +65,18 @@
                 problems=tuple(problems),
             )
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return Failure(f"{type(error).__name__}: {error}")
+    except _DECODE_ERRORS as error:
+        return Failure(_describe(error))
+
+
+def catalog_version(value: Mapping[str, Any]) -> int:
+    """Returns the version of a configuration, 0 if it has none that is valid."""
+    version = value.get("version")
+    return version if type(version) is int and 0 <= version <= MAX_INTEGER else 0
+
+
+def _describe(error: BaseException) -> str:
+    return f"{type(error).__name__}: {str(error)[:MAX_TEXT_BYTES]}"
 
 
 def _decode_route(raw: Mapping[str, Any]) -> Route:
@@ -83,8 +106,8 @@
     for index, raw in enumerate(raws):
         try:
             workspace = _decode_workspace(raw)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            problems.append(f"workspace {index}: {type(error).__name__}: {error}")
+        except _DECODE_ERRORS as error:
+            problems.append(f"workspace {index}: {_describe(error)}")
         else:
             workspaces[workspace.name] = workspace
     return workspaces
@@ -106,18 +129,18 @@
 
 
 # Validated although unused: an entry of another writer may be wrong in these fields only.
-_UNUSED_TARGET_FIELDS: tuple[tuple[str, type], ...] = (("version", str), ("cold_left_ms", int))
+_UNUSED_TEXT, _UNUSED_INTEGER = "version", "cold_left_ms"
 
 
 def decode_target(target_id: str, value: Mapping[str, Any]) -> Result[TargetRegistration, str]:
     """Decodes a target's registration; fails with a reason for entries of other writers."""
     try:
-        for name, kind in _UNUSED_TARGET_FIELDS:
-            _typed_field(value, name, kind)
+        _string_field(value, _UNUSED_TEXT)
+        _integer_field(value, _UNUSED_INTEGER)
         return Success(
             TargetRegistration(
-                id=target_id,
-                group=_string_field(value, "service"),
+                id=_checked_word("id", target_id),
+                group=_checked_word("service", _string_field(value, "service")),
                 address=_decode_address(_string_field(value, "address")),
                 failure_domain=_string_field(value, "zone"),
                 slots=_integer_field(value, "slots"),
@@ -127,16 +150,42 @@
                 sequence=_integer_field(value, "seq"),
             )
         )
-    except (KeyError, ValueError) as error:
-        return Failure(f"{type(error).__name__}: {error}")
+    except _DECODE_ERRORS as error:
+        return Failure(_describe(error))
+
+
+def encode_target(entry: TargetRegistration) -> dict[str, Any]:
+    """Returns the entry of a registration, for other VMs, without the fields that are not used."""
+    return {
+        "service": entry.group,
+        "address": str(entry.address),
+        "zone": entry.failure_domain,
+        "version": "",
+        "slots": entry.slots,
+        "state": _STATE_WORDS[entry.state],
+        "cold_left_ms": 0,
+        "db_role": _ROLE_WORDS[entry.role],
+        "seq": entry.sequence,
+        "born": entry.started_ms,
+    }
+
+
+_STATE_WORDS = {state: word for word, state in _STATES.items()}
+_ROLE_WORDS = {role: word for word, role in _ROLES.items()}
 
 
 def _string_field(value: Mapping[str, Any], name: str) -> str:
-    return _typed_field(value, name, str)
+    text: str = _typed_field(value, name, str)
+    if len(text.encode()) > MAX_TEXT_BYTES:
+        raise ValueError(f"{name} is too long")
+    return text
 
 
 def _integer_field(value: Mapping[str, Any], name: str) -> int:
-    return _typed_field(value, name, int)
+    number: int = _typed_field(value, name, int)
+    if not 0 <= number <= MAX_INTEGER:
+        raise ValueError(f"{name} is out of range")
+    return number
 
 
 def _typed_field(value: Mapping[str, Any], name: str, kind: type) -> Any:
@@ -146,8 +195,15 @@
     return field
 
 
+def _checked_word(name: str, text: str) -> str:
+    """Returns a text that can be a word of the session protocol; raises `ValueError` otherwise."""
+    if not text or not text.isascii() or not text.isprintable() or " " in text:
+        raise ValueError(f"{name} is not a word")
+    return text
+
+
 def _decode_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not port.isdigit() or not int(port):
         raise ValueError(f"not an address: {text!r}")
     return Address(host, int(port))
--- a/siskindale/platform/store.py
+++ b/siskindale/platform/store.py
@@ -165,7 +165,7 @@
 def _decode_body(response: HttpResponse) -> Result[dict[str, Any], PlatformError]:
     try:
         body = json.loads(response.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Failure(PlatformError(PlatformFailure.UNKNOWN, f"malformed response: {error}"))
     if not isinstance(body, dict):
         return Failure(PlatformError(PlatformFailure.UNKNOWN, "response is not an object"))
--- a/siskindale/proxy/directory.py
+++ b/siskindale/proxy/directory.py
@@ -4,17 +4,19 @@
 nobody to ask. Whether a VM in it is alive is found out by probes.
 """
 
+import math
 from random import Random
 
 import gevent
 import msgspec
 from returns.result import Failure
 
-from siskindale.models.members import MemberFact
+from siskindale.models.members import MemberFact, MemberFacts
 from siskindale.proxy import metrics
 from siskindale.proxy.members import Membership
 from siskindale.runtime.logs import logger
 from siskindale.store.interface import WatchedTables, Write
+from siskindale.transport import codec
 
 DIRECTORY_TABLE = "members"
 # The first retries come soon, because clients wait for a VM that starts while the store returns.
@@ -74,7 +76,7 @@
             logger().info("directory-unreadable", reason=found.failure().detail)
             return False
         own = self._membership.table.own
-        facts = {row.key: _decode(row.value) for row in found.unwrap().rows}
+        facts = {row.key: decode_row(row.key, row.value) for row in found.unwrap().rows}
         listed = facts.get(own.vm)
         self._membership.adopt([fact for fact in facts.values() if fact is not None])
         logger().info("directory-read", members=len(facts), listed=listed is not None)
@@ -96,7 +98,7 @@
             logger().info("directory-unreadable", reason=found.failure().detail)
             return False
         row = found.unwrap()
-        listed = _decode(row.value) if row else None
+        listed = decode_row(row.key, row.value) if row else None
         return (listed is not None and _same_place(listed, own)) or self._write_own_row()
 
     def _write_own_row(self) -> bool:
@@ -117,12 +119,21 @@
         metrics.STORE_CALLS.labels(f"directory-{call}", outcome).inc()
 
 
-def _decode(value: object) -> MemberFact | None:
+def decode_row(vm: str, value: object) -> MemberFact | None:
+    """Returns the fact in a row, None if the row is of another writer.
+
+    A fact is passed on to other VMs, so it has to fit into a message.
+    """
     try:
-        return msgspec.convert(value, MemberFact)
-    except msgspec.ValidationError as error:
-        logger().warning("directory-row-malformed", reason=str(error))
+        fact = msgspec.convert(value, MemberFact)
+    except (msgspec.ValidationError, ValueError, RecursionError) as error:
+        logger().warning("directory-row-malformed", member=vm, reason=str(error))
+        return None
+    usable = fact.vm == vm and math.isfinite(fact.capacity) and fact.capacity > 0
+    if not usable or not codec.can_be_encoded(MemberFacts((fact,))):
+        logger().warning("directory-row-malformed", member=vm, reason="not a member's own fact")
         return None
+    return fact
 
 
 def _same_place(listed: MemberFact, own: MemberFact) -> bool:
--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -7,7 +7,12 @@
 from returns.result import Failure, Result, Success
 
 from siskindale.models.vm import ProxySettings
-from siskindale.platform.entries import CATALOG_KEY, CATALOG_TABLE, TARGETS_TABLE
+from siskindale.platform.entries import (
+    CATALOG_KEY,
+    CATALOG_TABLE,
+    TARGETS_TABLE,
+    catalog_version,
+)
 from siskindale.proxy import metrics
 from siskindale.proxy.state import ProxyState
 from siskindale.runtime.logs import logger
@@ -138,7 +143,7 @@
         if any(adopted):
             self._notify_peers()
         if rows:
-            self._stored_version = int(rows[-1].value.get("version", 0))
+            self._stored_version = catalog_version(rows[-1].value)
         # A watch without changes is answered only after its wait.
         waited_s = 0.0 if changes.rows else self._follower.waited_s
         confirmed_at = min(self._state.now(), asked_at + waited_s)
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -23,6 +23,7 @@
 )
 from siskindale.models.messages import Body
 from siskindale.models.vm import ProxySettings
+from siskindale.platform.entries import encode_target
 from siskindale.proxy.admission import Admission
 from siskindale.proxy.decisions.balancing import ReportedLoad
 from siskindale.proxy.decisions.connections import is_starved
@@ -161,8 +162,8 @@
     def notify_targets(self) -> None:
         """Notifies all peers of changed registrations, if there are any."""
         changes = {
-            name: None if raw is None else dict(raw)
-            for name, raw in self._state.take_changes().items()
+            name: None if entry is None else encode_target(entry)
+            for name, entry in self._state.take_changes().items()
         }
         if changes:
             for peer in self.live():
@@ -347,7 +348,7 @@
     def _on_state_request(self, delivery: Delivery) -> None:
         state = self._state
         catalog = dict(state.raw_catalog) if state.raw_catalog is not None else None
-        targets = {name: dict(raw) for name, raw in state.raw_targets.items()}
+        targets = {name: encode_target(entry) for name, entry in state.registrations.items()}
         answer = StateAnswer(catalog, targets, state.targets_version)
         self._send(delivery.envelope.reply_to, answer)
 
--- a/siskindale/proxy/settings.py
+++ b/siskindale/proxy/settings.py
@@ -34,6 +34,8 @@
     "forwarding",
 }
 _LOG_LEVELS = ("debug", "info", "warning", "error")
+# Stands for an address that the settings do not give correctly, which is a finding.
+_NO_ADDRESS = Address("0.0.0.0", 0)
 
 
 def load_settings(path: str | PathLike[str]) -> Result[ProxySettings, Findings]:
@@ -142,15 +144,18 @@
 
     def _read_address(self, name: str) -> Address:
         if name not in self._raw:
-            return self._report_invalid(name, "write HOST:PORT", Address("", 0))
+            return self._report_invalid(name, "write HOST:PORT", _NO_ADDRESS)
         return self._parse_address(name, self._raw[name])
 
     def _parse_address(self, path: str, text: Any) -> Address:
-        host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-        if host and port.isdigit() and 0 < int(port) < 65536:
-            return Address(host, int(port))
+        try:
+            address = Address.parse(text if isinstance(text, str) else "")
+        except ValueError:
+            address = _NO_ADDRESS
+        if address.port:
+            return address
         self._add_finding(path, f"is not an address: {text!r}", "write HOST:PORT")
-        return Address("", 0)
+        return _NO_ADDRESS
 
     def _report_invalid(self, name: str, remedy: str, default: Any) -> Any:
         problem = f"invalid value: {self._raw[name]!r}" if name in self._raw else "is missing"
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -40,12 +40,12 @@
         self._pool = pool
         self._catalog: Catalog | None = None
         self._raw_catalog: Mapping[str, Any] | None = None
-        self._raw_targets: dict[str, Mapping[str, Any]] = {}
+        self._registrations: dict[str, TargetRegistration] = {}
         self._targets_version = 0
         self._targets_known = False
         self._targets_confirmed_at: float | None = None
         self._catalog_confirmed_at: float | None = None
-        self._changes_for_peers: dict[str, Mapping[str, Any] | None] = {}
+        self._changes_for_peers: dict[str, TargetRegistration | None] = {}
         self._catalog_loaded = Event()
         self._needs_targets: Callable[[], bool] = lambda: True
 
@@ -70,9 +70,9 @@
         return self._raw_catalog
 
     @property
-    def raw_targets(self) -> Mapping[str, Mapping[str, Any]]:
-        """Registrations as the store holds them, for peers."""
-        return self._raw_targets
+    def registrations(self) -> Mapping[str, TargetRegistration]:
+        """Valid registrations by target id, also those of groups that the catalog lacks."""
+        return self._registrations
 
     @property
     def transaction_idle_s(self) -> float:
@@ -192,7 +192,7 @@
                 self._adopt_target(target_id, raw, "peer")
         self._changes_for_peers.clear()
 
-    def take_changes(self) -> Mapping[str, Mapping[str, Any] | None]:
+    def take_changes(self) -> Mapping[str, TargetRegistration | None]:
         """Returns the changes since the last call, to send them to peers."""
         changes, self._changes_for_peers = self._changes_for_peers, {}
         return changes
@@ -205,7 +205,7 @@
         self, entries: Mapping[str, Mapping[str, Any]], version: int, source: str
     ) -> None:
         """Applies a complete table of registrations; targets that it lacks count as missing."""
-        gone = {target_id: None for target_id in self._raw_targets if target_id not in entries}
+        gone = {target_id: None for target_id in self._registrations if target_id not in entries}
         self.adopt_targets({**entries, **gone}, version, source)
 
     def remove_missing(self, after_s: float) -> None:
@@ -232,11 +232,11 @@
                 self._groups[name] = Group(name, limits)
             else:
                 known.limits = limits
-        for target_id, raw in self._raw_targets.items():
-            self._adopt_target(target_id, raw, "catalog")
+        for entry in self._registrations.values():
+            self._apply_registration(entry, "catalog")
 
     def _note_missing(self, target_id: str) -> None:
-        self._raw_targets.pop(target_id, None)
+        self._registrations.pop(target_id, None)
         for target in self._targets():
             if target.id == target_id and target.missing_since is None:
                 target.missing_since = self.now()
@@ -244,16 +244,19 @@
                 logger().info("registration-missing", target=target_id)
 
     def _adopt_target(self, target_id: str, raw: Mapping[str, Any], source: str) -> None:
-        self._raw_targets[target_id] = raw
         decoded = decode_target(target_id, raw)
         if isinstance(decoded, Failure):
             logger().warning("registration-ignored", target=target_id, reason=decoded.failure())
             return
         entry = decoded.unwrap()
+        self._registrations[target_id] = entry
+        self._apply_registration(entry, source)
+
+    def _apply_registration(self, entry: TargetRegistration, source: str) -> None:
         group = self._groups.get(entry.group)
         if group is None:
             return
-        known = group.targets.get(target_id)
+        known = group.targets.get(entry.id)
         if known is None:
             self._add_target(group, entry, source)
         elif is_newer(known.entry, entry):
@@ -285,7 +288,7 @@
     def _note_change(self, group: Group, target: Target, event: str, source: str) -> None:
         """Applies a new state or role of a target to its group, and logs it as `event`."""
         entry = target.entry
-        self._changes_for_peers[entry.id] = self._raw_targets[entry.id]
+        self._changes_for_peers[entry.id] = entry
         self._note_draining(target)
         logger().info(
             event,
--- a/siskindale/transport/codec.py
+++ b/siskindale/transport/codec.py
@@ -22,6 +22,15 @@
     return msgspec.Raw(_ENCODER.encode(body))
 
 
+def can_be_encoded(body: Body) -> bool:
+    """Returns whether a message fits the encoding, which has integers of 64 bits and valid text."""
+    try:
+        _ENCODER.encode(body)
+    except (OverflowError, ValueError, RecursionError):
+        return False
+    return True
+
+
 def encode_envelope(envelope: Envelope) -> bytes:
     """Encodes an envelope with its body."""
     return _ENCODER.encode(envelope)
@@ -35,7 +44,7 @@
         if decoder is None:
             return Failure(f"unknown message kind {envelope.kind!r}")
         return Success((envelope, decoder.decode(envelope.body)))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Failure(str(error))
 
 
@@ -58,5 +67,5 @@
         if decoder is None:
             return Failure(f"unknown message kind {kind!r}")
         return Success((number, decoder.decode(raw)))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Failure(str(error))
