Go on with a shutdown when a client has reset its session

Cause: close_if_idle counts a reset connection as idle and shuts its socket down, which raises ENOTCONN. Nothing caught it up to sys.exit.

Change: a reset session counts as closed. No failure of one session, nor of telling other VMs, ends a shutdown; each is logged.

Evidence: both new tests fail on the parent, one with errno 107, and pass.

--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -218,9 +218,13 @@
 
     def _stop(self) -> None:
         logger().info("stopping", sessions=len(self._server.sessions))
-        self._membership.drain()
         self._peers.draining = True
-        self._peers.announce()
+        for announce in (self._membership.drain, self._peers.announce):
+            try:
+                announce()
+            except Exception:
+                # Other VMs notice the end of this one also without being told.
+                logger().exception("shutdown-not-announced")
         servers = (self._server, self._forwarding_server)
         Drain(self._settings, self._clock, *servers, self._interrupt).run()
         logger().info("stopped")
--- a/siskindale/proxy/server.py
+++ b/siskindale/proxy/server.py
@@ -1,9 +1,9 @@
 """Servers of the session proxy: client sessions, readiness and metrics."""
 
-import itertools
+import functools
 import socket as system_socket
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 from gevent import socket
 from gevent.server import StreamServer
@@ -15,10 +15,13 @@
 from siskindale.proxy.runners import Runners
 from siskindale.proxy.session import ClientSession
 from siskindale.proxy.state import ProxyState
+from siskindale.runtime.logs import logger
 from siskindale.transport.http_server import Response, create_http_server
 
 METRICS_PATH = "/metrics"
 
+T = TypeVar("T")
+
 
 class SessionServer:
     """Accepts client connections and runs a session on each of them."""
@@ -53,9 +56,10 @@
 
     def close_idle(self, quota: int) -> None:
         """Closes at most `quota` sessions that wait for a request."""
-        idle = (session for session in list(self._sessions) if session.close_if_idle())
-        for _ in itertools.islice(idle, quota):
-            pass
+        for session in list(self._sessions):
+            if quota <= 0:
+                return
+            quota -= _attempt("session-not-closed", session.close_if_idle) or 0
 
     def refuse_requests(self) -> None:
         """Accepts no more connections, and refuses the next request of each session."""
@@ -67,7 +71,8 @@
     def abort_transactions(self) -> None:
         """Rolls back the transactions of sessions that run no statement at the moment."""
         for session in list(self._sessions):
-            session.abort_transaction("shutdown")
+            abort = functools.partial(session.abort_transaction, "shutdown")
+            _attempt("transaction-not-aborted", abort)
 
     def _serve(self, sock: socket.socket, _: Any) -> None:
         session = ClientSession(sock, self._state, self._runners)
@@ -82,6 +87,15 @@
             metrics.SESSIONS.dec()
 
 
+def _attempt(event: str, action: Callable[[], T]) -> T | None:
+    """Runs an action on one session; a failure is logged as `event` and concerns no other."""
+    try:
+        return action()
+    except Exception:
+        logger().exception(event)
+        return None
+
+
 def _listen_for_clients(address: Address) -> system_socket.socket:
     try:
         return system_socket.create_server((address.host, address.port), backlog=ACCEPT_BACKLOG)
--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -109,7 +109,11 @@
         """Closes the session if it is idle; returns whether it did."""
         if not self.idle:
             return False
-        self._socket.shutdown(system_socket.SHUT_RDWR)
+        try:
+            self._socket.shutdown(system_socket.SHUT_RDWR)
+        except OSError as error:
+            # The client has reset the connection, and the session has not noticed it yet.
+            logger().debug("session-lost", database=self._database, reason=repr(error))
         return True
 
     def refuse_requests(self) -> None:
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -2,18 +2,26 @@
 
 import itertools
 import signal
-from collections.abc import Callable
+import socket as system_socket
+import struct
+from collections.abc import Callable, Iterator
+from unittest.mock import Mock
 
 import gevent
 import pytest
+from gevent import socket
 
+from bench.processes import free_addresses, wait_until
 from siskindale.proxy.decisions.draining import (
     BALANCER_STOP_S,
     DrainPhase,
     closing_quota,
     next_phase,
 )
-from tests.proxy.deployment import Client, Deployment, Proxy, eventually
+from siskindale.proxy.decisions.identity import Caller
+from siskindale.proxy.server import SessionServer
+from siskindale.proxy.session import ClientSession
+from tests.proxy.deployment import WAIT_TIMEOUT_S, Client, Deployment, Proxy, eventually
 
 GRACE_S = 6.0
 TICK_S = 0.05
@@ -99,6 +107,53 @@
     assert not ran
 
 
+def _reset(sock: system_socket.socket) -> None:
+    """Closes a connection as a client does that leaves with unread bytes."""
+    sock.setsockopt(system_socket.SOL_SOCKET, system_socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+@pytest.fixture
+def waiting_session() -> Iterator[tuple[ClientSession, system_socket.socket]]:
+    """A session that waits for a request, and the socket of its client."""
+    state = Mock()
+    state.identify.return_value = Caller("")
+    with system_socket.create_server(("127.0.0.1", 0)) as listener:
+        client = system_socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    session = ClientSession(socket.socket(fileno=accepted.detach()), state, Mock())
+    greenlet = gevent.spawn(session.run)
+    client.sendall(b"START db1 test\r\n")
+    wait_until(lambda: session.idle, WAIT_TIMEOUT_S, "the session waits")
+    yield session, client
+    greenlet.kill()
+
+
+def test_a_session_that_its_client_has_reset_can_be_closed(
+    waiting_session: tuple[ClientSession, system_socket.socket],
+) -> None:
+    """Guards against a shutdown that ends at once because clients reset idle sessions.
+
+    The session has not noticed the reset, since its greenlet has not run since.
+    """
+    session, client = waiting_session
+    _reset(client)
+    assert session.close_if_idle()
+
+
+def test_one_session_does_not_end_a_shutdown() -> None:
+    """Guards against a session whose failure leaves all others unclosed."""
+    server = SessionServer(free_addresses(1)[0], Mock(), Mock(), None)
+    broken, sound = Mock(), Mock()
+    broken.close_if_idle.side_effect = broken.abort_transaction.side_effect = RuntimeError
+    sound.close_if_idle.return_value = True
+    server.sessions.update((broken, sound))
+    server.close_idle(2)
+    server.abort_transactions()
+    sound.close_if_idle.assert_called_once_with()
+    sound.abort_transaction.assert_called_once_with("shutdown")
+
+
 def test_requests_are_refused_before_the_end_although_clients_come_back() -> None:
     """Guards against a shutdown that serves sessions until its time is over.
 
