Take only VMs that were heard of for members

Cause: a starting VM merged each row of the directory as a living member, and no row was ever removed. With more than twelve rows most owners were dead, and they were found out one a second. Gossip brought them back into the whole fleet.

Change: rows are candidates, asked at once at the start and not passed on. One member removes the row of a VM that nobody has heard for a minute, on condition of its version; a VM that was forgotten lists itself again. No call to the store at rest is added.

--- a/siskindale/proxy/decisions/membership.py
+++ b/siskindale/proxy/decisions/membership.py
@@ -12,13 +12,17 @@
 import attrs
 import xxhash
 
+from siskindale.membership.rendezvous import rendezvous_score
 from siskindale.models.address import Address
 from siskindale.models.members import MemberFact, MemberState
+from siskindale.proxy.decisions.candidates import Candidates
 
 # A suspected VM has this long to refute it: a few exchanges, and a pause of a slow VM.
 SUSPICION_TIMEOUT_S = 2.0
 # Facts of VMs that are gone are kept so that older facts of them are recognized.
 GONE_RETENTION_S = 60.0
+# Members, this one included, that must know each other for a row to be removed.
+MIN_WITNESSES = 2
 # A fact reaches the fleet in about log2(N) messages a VM; each time it goes to this many VMs.
 GOSSIP_FANOUT = 3
 
@@ -36,13 +40,17 @@
 class MemberTable:
     """Facts on all VMs of the fleet, this one included.
 
-    `version` increases with each change, for caches of what follows from the facts.
+    `candidates` are VMs that may exist and count for nothing until they are heard of. `returned`
+    are VMs that were heard again after they had been forgotten. `version` increases with each
+    change, for caches of what follows from the facts.
     """
 
     own: MemberFact
     random: Random
     rows: dict[str, MemberRow] = attrs.field(factory=dict)
+    candidates: Candidates = attrs.field(factory=Candidates)
     version: int = 0
+    returned: list[str] = attrs.field(factory=list)
     _digest: int | None = None
     _probe_order: list[str] = attrs.field(factory=list)
 
@@ -103,13 +111,33 @@
                 row.changed_at = now
 
     def forget_gone(self, now: float) -> None:
-        """Removes the facts of VMs that have been gone for long."""
+        """Removes the facts of VMs that have been gone for long, which become candidates."""
         for vm, row in list(self.rows.items()):
             long_gone = now - row.changed_at >= GONE_RETENTION_S
             if row.fact.state is MemberState.GONE and long_gone:
                 del self.rows[vm]
+                self.candidates.add_forgotten([row.fact], row.changed_at)
                 self._note_change()
 
+    def take_returned(self) -> list[str]:
+        """Returns the VMs that were heard again since the last call."""
+        returned, self.returned = self.returned, []
+        return returned
+
+    def lost_to_remove(self, now: float) -> list[MemberFact]:
+        """Returns the VMs unheard for long whose rows in the directory this VM has to remove.
+
+        One member is responsible for each of them. A VM that hears nobody may itself be cut off.
+        """
+        serving = [fact.vm for fact in self.serving()]
+        if len(serving) < MIN_WITNESSES:
+            return []
+        return [
+            fact
+            for fact in self.candidates.unheard_for(GONE_RETENTION_S, now)
+            if max(serving, key=lambda vm: rendezvous_score(fact.vm, vm)) == self.own.vm
+        ]
+
     def drain(self, now: float) -> None:
         """Records that this VM takes no new work any more."""
         self._assert_own(MemberState.DRAINING, self.own.incarnation + 1, now)
@@ -169,6 +197,9 @@
         if row is None:
             if fact.state is MemberState.GONE:
                 return False
+            candidate = self.candidates.remove(fact.vm)
+            if candidate is not None and now - candidate.since >= GONE_RETENTION_S:
+                self.returned.append(fact.vm)
         elif (fact.incarnation, fact.state) <= (row.fact.incarnation, row.fact.state):
             return False
         self._set_row(fact, now)
--- a/siskindale/proxy/members.py
+++ b/siskindale/proxy/members.py
@@ -32,6 +32,11 @@
 INDIRECT_TIMEOUT_S = 0.5
 INDIRECT_PROBES = 2
 JOIN_INTERVAL_S = 0.3
+# Candidates are asked in groups, so that a large directory does not fill the queues of the link.
+CANDIDATES_AT_ONCE = 64
+CANDIDATES_INTERVAL_S = 0.02
+# So many of them are asked for all that they know. The others tell the newest facts only.
+COMPLETE_ANSWERS = 2
 # News are collected for this long before they are passed on, since they come in bursts.
 GOSSIP_DELAY_S = 0.05
 FACTS_PER_DATAGRAM = 12
@@ -86,6 +91,9 @@
         self._changed_at = clock.monotonic()
         self._synced_at = 0.0
         self._differs = False
+        self._candidates_added = Event()
+        self._complete_answers_left = COMPLETE_ANSWERS
+        self._on_returned: Callable[[], None] = lambda: None
 
     @property
     def table(self) -> MemberTable:
@@ -101,7 +109,12 @@
         address = self._table.own.peers
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((address.host, address.port))
-        tasks = (self._receive, self._probe_members, self._spread_updates)
+        tasks = (
+            self._receive,
+            self._probe_members,
+            self._spread_updates,
+            self._ask_candidates,
+        )
         self._greenlets = [gevent.spawn(task) for task in tasks]
 
     def stop(self) -> None:
@@ -109,9 +122,19 @@
         gevent.killall(self._greenlets)
         self._socket.close()
 
-    def adopt(self, facts: Sequence[MemberFact]) -> None:
-        """Applies facts from another source, such as the store."""
-        self._merge(facts)
+    def on_returned(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` when VMs are heard again that this one had forgotten."""
+        self._on_returned = listener
+
+    def consider(self, facts: Sequence[MemberFact]) -> None:
+        """Asks the VMs of a list whether they are alive; until then they are no members."""
+        unknown = [fact for fact in facts if fact.vm not in self._table.rows]
+        self._table.candidates.add(unknown, self._clock.monotonic())
+        self._candidates_added.set()
+
+    def lost_to_remove(self) -> list[MemberFact]:
+        """Returns the VMs unheard for long whose rows this VM has to remove from the directory."""
+        return self._table.lost_to_remove(self._clock.monotonic())
 
     def quiet_for(self, duration_s: float) -> bool:
         """Returns whether other VMs are known and nothing has changed for a while."""
@@ -141,6 +164,26 @@
     def _join(self) -> None:
         for seed in self._seeds:
             self._send(seed, self._ping(wants_all=True))
+        silent = self._table.candidates.silent()
+        if silent:
+            self._ask([self._table.random.choice(silent)])
+
+    def _ask_candidates(self) -> None:
+        candidates = self._table.candidates
+        while True:
+            self._candidates_added.wait()
+            self._candidates_added.clear()
+            while candidates.any_to_ask():
+                self._ask(candidates.next_to_ask(self._clock.monotonic(), CANDIDATES_AT_ONCE))
+                gevent.sleep(CANDIDATES_INTERVAL_S)
+
+    def _ask(self, candidates: Sequence[MemberFact]) -> None:
+        facts = (self._table.own,)
+        for candidate in candidates:
+            wants_all = self._complete_answers_left > 0
+            self._complete_answers_left -= wants_all
+            ping = MemberPing(facts, self._table.digest, self._catalog_version(), wants_all)
+            self._send(candidate.peers, ping)
 
     def _probe(self, target: MemberFact) -> None:
         """Asks one VM whether it is alive, directly and then through others."""
@@ -173,7 +216,9 @@
     def _contact_lost(self) -> None:
         """Pings one VM that seems to be gone, as a partition between the two may have ended."""
         members = {fact.peers for fact in self._table.members()}
-        lost = [*self._table.gone(), *(seed for seed in self._seeds if seed not in members)]
+        silent = [fact.peers for fact in self._table.candidates.silent()]
+        seeds = [seed for seed in self._seeds if seed not in members]
+        lost = [*self._table.gone(), *seeds, *silent]
         if lost:
             self._send(self._table.random.choice(lost), self._ping())
 
@@ -212,6 +257,10 @@
             logger().debug(event, member=fact.vm, state=fact.state.name.lower())
         if changed:
             self._note_update()
+        returned = self._table.take_returned()
+        if returned:
+            logger().info("members-returned", members=",".join(returned))
+            self._on_returned()
 
     def _ping(self, wants_all: bool = False) -> MemberPing:
         own = self._table.own
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -52,7 +52,7 @@
 LOG_SETUP_DELAY_S = 0.3
 PEER_EXCHANGE_DELAY_S = 0.1
 # VMs of a growing fleet forward to others that have not noticed yet; these refuse until then.
-FORWARDING_CHECK_INTERVAL_S = 0.25
+FORWARDING_CHECK_INTERVAL_S = 0.05
 
 SettingsLoader = Callable[[], Result[ProxySettings, tuple[Finding, ...]]]
 
@@ -100,7 +100,7 @@
         )
         store = PlatformStore(settings.store)
         store.on_restored(self._note_restored)
-        self._directory = Directory(store, self._membership, Random())
+        self._directory = Directory(store, self._membership, Random(), clock)
         duties = Duties(settings, store, ownership)
         self._duty = DutyKeeper(settings, self._state, self._peers, ownership, duties)
         self._catalog = CatalogFollower(settings, store, self._state, self._peers.announce_soon)
