Start long-lived tasks again after an uncaught exception

Cause: endless loops ran in bare greenlets.

Change: runtime/supervision.py. Each endless loop of all programs is registered by a decorator; a failure is logged and counted, and the loop starts again after a pause. Entries and messages that fail are set aside one by one, and followers read their table whole again. A vital task that keeps failing makes the program not ready.

Evidence: tests/test_supervision.py lets each of the 25 registered tasks raise once and go on, and finds endless loops in the sources that are not registered. Not done: the reason in siskindale-proxy status, which reads the store only.

--- a/siskindale/bundles/following.py
+++ b/siskindale/bundles/following.py
@@ -21,6 +21,7 @@
 from siskindale.models.settings import Settings
 from siskindale.models.wire import HeadNotice, HeadRequest
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived, supervise
 from siskindale.store.interface import Platform, PlatformError
 from siskindale.transport.mailbox import Delivery, Mailbox
 
@@ -116,7 +117,7 @@
 
     def start(self) -> None:
         """Starts polling and fetching."""
-        self._greenlets = [gevent.spawn(self._poll_forever), gevent.spawn(self._fetch_forever)]
+        self._greenlets = [supervise(self._poll_forever), supervise(self._fetch_forever)]
 
     def stop(self) -> None:
         """Stops polling and fetching; the bundle in effect stays."""
@@ -168,6 +169,7 @@
     def _poll_period_s(self) -> float:
         return self._durations.head_poll_ms / 1000
 
+    @long_lived("bundle-confirmation", vital=True)
     def _poll_forever(self) -> None:
         while True:
             started_at = self._clock.monotonic()
@@ -184,6 +186,7 @@
             period *= 1 + self._random.uniform(-POLL_JITTER_FRACTION, POLL_JITTER_FRACTION)
             gevent.sleep(max(0.0, started_at + period - self._clock.monotonic()))
 
+    @long_lived("bundle-fetch", vital=True)
     def _fetch_forever(self) -> None:
         while True:
             self._fetch_needed.clear()
--- a/siskindale/controller/program.py
+++ b/siskindale/controller/program.py
@@ -31,6 +31,7 @@
 from siskindale.runtime.logs import logger
 from siskindale.runtime.loop import TickLoop
 from siskindale.runtime.program import ProgramComponents, load_target_driver
+from siskindale.runtime.supervision import long_lived, supervise
 from siskindale.store.interface import PlatformFailure, Row
 from siskindale.targets.interface import TargetDriver, TargetError
 from siskindale.transport.mailbox import Delivery
@@ -80,7 +81,7 @@
         """Starts the tick loop and the background tasks."""
         self._loop.start()
         self._assignment_runner.start()
-        gevent.spawn(self._run_housekeeping)
+        supervise(self._run_housekeeping)
 
     def drain(self) -> None:
         """Prevents new promotions and blocks until those in progress have ended."""
@@ -177,6 +178,7 @@
         self._tables.leaving, self._ranks, self._assigned = directory.leaving, ranks, True
         self._loop.wake()
 
+    @long_lived("controller-housekeeping")
     def _run_housekeeping(self) -> None:
         while True:
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/siskindale/entry/server.py
+++ b/siskindale/entry/server.py
@@ -15,6 +15,7 @@
 from siskindale.models.outcomes import Refusal, RefusalKind
 from siskindale.models.settings import EntrySettings
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived, supervise
 
 IDLE_TIMEOUT_S = 75.0
 READ_TIMEOUT_S = 10.0
@@ -158,7 +159,7 @@
     def start(self) -> None:
         """Listens and starts enforcing the timeouts."""
         super().start()
-        self._timeout_greenlet = gevent.spawn(self._enforce_timeouts)
+        self._timeout_greenlet = supervise(self._enforce_timeouts)
 
     def handle(self, sock: Any, address: Any) -> None:
         """Serves one connection."""
@@ -196,6 +197,7 @@
             if handler.phase is ConnectionPhase.IDLE:
                 handler.interrupt()
 
+    @long_lived("entry-timeouts")
     def _enforce_timeouts(self) -> None:
         while True:
             gevent.sleep(TIMEOUT_CHECK_INTERVAL_S)
--- a/siskindale/membership/assignment.py
+++ b/siskindale/membership/assignment.py
@@ -10,6 +10,7 @@
 from siskindale.models.bundle import Bundle
 from siskindale.models.member import Member
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived, supervise
 
 # The first VMs in rank order control a group.
 CONTROLLERS_PER_GROUP = 3
@@ -82,8 +83,9 @@
 
     def start(self) -> None:
         """Starts handling requests."""
-        gevent.spawn(self._run)
+        supervise(self._run)
 
+    @long_lived("assignment", vital=True)
     def _run(self) -> None:
         while True:
             self._requested.wait()
--- a/siskindale/membership/directory.py
+++ b/siskindale/membership/directory.py
@@ -15,6 +15,7 @@
 from siskindale.models.member import Member
 from siskindale.models.settings import Settings
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived, supervise
 from siskindale.store.interface import Condition, Platform, PlatformFailure, Write
 
 MEMBERS_TABLE = "members"
@@ -106,7 +107,7 @@
         """Writes the own row and polls the platform; only one program of each VM does this."""
         self._platform.tables.on_restored(self._note_restored)
         self._tasks.spawn(self._announce_until_written)
-        self._tasks.spawn(self._refresh_periodically)
+        self._tasks.add(supervise(self._refresh_periodically))
 
     def stop(self) -> None:
         """Ends what `start` has started."""
@@ -171,6 +172,7 @@
         while not self.announce():
             gevent.sleep(ANNOUNCE_RETRY_INTERVAL_S)
 
+    @long_lived("members-table", vital=True)
     def _refresh_periodically(self) -> None:
         while True:
             self.refresh()
--- a/siskindale/membership/relay.py
+++ b/siskindale/membership/relay.py
@@ -10,6 +10,7 @@
 from siskindale.context import Clock
 from siskindale.membership.directory import REFRESH_INTERVAL_S, Directory
 from siskindale.models.wire import DirectoryNotice, DirectoryRequest
+from siskindale.runtime.supervision import long_lived, supervise
 from siskindale.transport.mailbox import Delivery, Mailbox
 
 SILENCE_LIMIT_S = 2 * REFRESH_INTERVAL_S
@@ -60,7 +61,7 @@
 
     def start(self) -> None:
         """Starts polling the controller; until it answers, views come from the platform."""
-        gevent.spawn(self._poll_periodically)
+        supervise(self._poll_periodically)
 
     def poll(self) -> None:
         """Sends a request to the controller, and reads the platform if it has been silent."""
@@ -71,6 +72,7 @@
             self._controller_boot = ""
             self._directory.refresh()
 
+    @long_lived("directory-relay", vital=True)
     def _poll_periodically(self) -> None:
         while True:
             self.poll()
--- a/siskindale/pool/program.py
+++ b/siskindale/pool/program.py
@@ -38,6 +38,7 @@
 from siskindale.runtime.logs import logger
 from siskindale.runtime.loop import TickLoop
 from siskindale.runtime.program import ProgramComponents, load_target_driver
+from siskindale.runtime.supervision import long_lived, supervise
 from siskindale.targets.interface import TargetDriver
 from siskindale.transport.mailbox import Delivery
 
@@ -90,7 +91,7 @@
         """Starts the tick loop, the reassignment and the housekeeping."""
         self._loop.start()
         self._reassignment.start()
-        gevent.spawn(self._run_housekeeping)
+        supervise(self._run_housekeeping)
 
     def drain(self) -> None:
         """Refuses new work and blocks until all requests and transactions have ended."""
@@ -184,6 +185,7 @@
         for member in self._components.directory.members:
             self._components.mailbox.send(member.entry.inbox_url, AliveReply())
 
+    @long_lived("pool-housekeeping")
     def _run_housekeeping(self) -> None:
         for count in itertools.count(1):
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/siskindale/proxy/directory.py
+++ b/siskindale/proxy/directory.py
@@ -19,6 +19,7 @@
 from siskindale.proxy.decisions.ownership import FULL_OWNERSHIP_VMS
 from siskindale.proxy.members import Membership
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived
 from siskindale.store.interface import Condition, Row, WatchedTables, Write
 from siskindale.transport import codec
 
@@ -65,6 +66,7 @@
         """Waits until the fleet is known, or for `timeout_s`; returns whether it is known."""
         return self._settled.wait(timeout_s)
 
+    @long_lived("directory")
     def run(self) -> None:
         """Reads the directory and lists this VM, then removes the rows of VMs that are gone."""
         gevent.spawn(self._settle_without_directory)
--- a/siskindale/proxy/duty.py
+++ b/siskindale/proxy/duty.py
@@ -15,6 +15,7 @@
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived
 from siskindale.store.interface import (
     Condition,
     PlatformError,
@@ -208,6 +209,7 @@
         self._duties = duties
         self._orphaned_since: dict[str, float] = {}
 
+    @long_lived("duty")
     def run(self) -> None:
         """Checks regularly who holds the duties, until it is killed."""
         while True:
--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -16,6 +16,7 @@
 from siskindale.proxy.transactions import TransactionRunner
 from siskindale.proxy.watch import GroupWatch
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived
 
 TICK_INTERVAL_S = 0.05
 MAINTENANCE_INTERVAL_S = 0.25
@@ -76,6 +77,7 @@
     def _watch(self, group: Group) -> GroupWatch:
         return self._watches.setdefault(group.name, GroupWatch(group))
 
+    @long_lived("failover", vital=True)
     def run(self) -> None:
         """Monitors all groups until it is killed."""
         last = self._pool.now()
--- a/siskindale/proxy/followers.py
+++ b/siskindale/proxy/followers.py
@@ -16,6 +16,7 @@
 from siskindale.proxy import metrics
 from siskindale.proxy.state import ProxyState
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived
 from siskindale.store.interface import Changes, PlatformError, PlatformFailure, WatchedTables
 from siskindale.store.versions import NO_VERSION
 
@@ -61,6 +62,10 @@
         """Whether the last call succeeded."""
         return bool(self._available)
 
+    def read_whole(self) -> None:
+        """Reads a snapshot next, as changes may have been lost."""
+        self._version = NO_VERSION
+
     def next_changes(self, wait: bool = True) -> Result[tuple[Changes, bool], PlatformError]:
         """Returns changes, and whether they are a snapshot of the complete table.
 
@@ -124,8 +129,10 @@
         self._notify_peers = notify_peers
         self._stored_version = 0
 
+    @long_lived("catalog", vital=True)
     def run(self) -> None:
         """Follows until it is killed."""
+        self._follower.read_whole()
         while True:
             gevent.sleep(self._follow_once())
 
@@ -182,9 +189,11 @@
         """Reads the registrations before the regular time, because some of them are outdated."""
         self._read_requested.set()
 
+    @long_lived("targets", vital=True)
     def run(self) -> None:
         """Follows while this VM uses targets, until it is killed."""
         self._wait_until_known()
+        self._follower.read_whole()
         while True:
             if not self._needed():
                 gevent.sleep(NEED_CHECK_INTERVAL_S)
--- a/siskindale/proxy/members.py
+++ b/siskindale/proxy/members.py
@@ -24,6 +24,7 @@
 from siskindale.proxy import metrics
 from siskindale.proxy.decisions.membership import MemberTable
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived, supervise
 from siskindale.transport import codec
 
 PROBE_INTERVAL_S = 1.0
@@ -47,6 +48,7 @@
 
 CatalogVersion = Callable[[], int]
 CatalogHandler = Callable[[str], None]
+Handler = Callable[[Any, Envelope, Any], None]
 
 
 @attrs.define
@@ -115,7 +117,7 @@
             self._spread_updates,
             self._ask_candidates,
         )
-        self._greenlets = [gevent.spawn(task) for task in tasks]
+        self._greenlets = [supervise(task) for task in tasks]
 
     def stop(self) -> None:
         """Stops at once, without telling the fleet."""
@@ -147,6 +149,7 @@
         self._note_update()
         self._send_updates()
 
+    @long_lived("member-probes", vital=True)
     def _probe_members(self) -> None:
         while True:
             target = self._table.next_to_probe()
@@ -168,6 +171,7 @@
         if silent:
             self._ask([self._table.random.choice(silent)])
 
+    @long_lived("member-candidates")
     def _ask_candidates(self) -> None:
         candidates = self._table.candidates
         while True:
@@ -230,6 +234,7 @@
         self._differs = False
         return now - self._synced_at >= QUIET_BEFORE_SYNC_S
 
+    @long_lived("member-gossip", vital=True)
     def _spread_updates(self) -> None:
         while True:
             self._updates.wait()
@@ -267,6 +272,7 @@
         facts = (own, *self._table.take_updates(FACTS_PER_DATAGRAM))
         return MemberPing(facts, self._table.digest, self._catalog_version(), wants_all)
 
+    @long_lived("member-datagrams", vital=True)
     def _receive(self) -> None:
         while True:
             data, _ = self._socket.recvfrom(1 << 16)
@@ -278,7 +284,14 @@
             metrics.DATAGRAMS.labels("received").inc()
             handler = self._handlers.get(type(body))
             if handler is not None:
-                handler(self, envelope, body)
+                self._handle(handler, envelope, body)
+
+    def _handle(self, handler: Handler, envelope: Envelope, body: Body) -> None:
+        """Handles one datagram; a failure concerns no other."""
+        try:
+            handler(self, envelope, body)
+        except Exception:
+            logger().exception("datagram-failed", kind=envelope.kind, sender=envelope.sender)
 
     def _on_ping(self, envelope: Envelope, ping: MemberPing) -> None:
         self._merge(ping.facts)
@@ -314,7 +327,7 @@
     def _on_facts(self, _: Envelope, message: MemberFacts) -> None:
         self._merge(message.facts)
 
-    _handlers: dict[type, Callable[[Any, Envelope, Any], None]] = {
+    _handlers: dict[type, Handler] = {
         MemberPing: _on_ping,
         MemberPingAnswer: _on_ping_answer,
         MemberIndirectPing: _on_indirect_ping,
--- a/siskindale/proxy/owner.py
+++ b/siskindale/proxy/owner.py
@@ -30,6 +30,7 @@
 from siskindale.proxy.tables import Group
 from siskindale.proxy.transactions import Transaction
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived, supervise
 from siskindale.transport.frames import FrameError, FrameStream
 
 IDLE_CHECK_INTERVAL_S = 0.5
@@ -131,7 +132,7 @@
 
     def run(self) -> None:
         """Serves the link until it ends, then rolls back what it has left open."""
-        limiter = gevent.spawn(self._end_idle_transactions)
+        limiter = supervise(self._end_idle_transactions)
         try:
             while (received := self._stream.receive()) is not None:
                 self._handle(*received)
@@ -143,6 +144,7 @@
                 self._fail(transaction)
             self._stream.close()
 
+    @long_lived("forwarded-transactions")
     def _end_idle_transactions(self) -> None:
         """Rolls back transactions whose VM is paused or cut off and cannot end them itself."""
         while True:
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -32,6 +32,7 @@
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group, Target
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived
 
 if TYPE_CHECKING:
     from siskindale.transport.mailbox import Delivery, Mailbox
@@ -135,6 +136,7 @@
             if any(loss.group == group.name and loss.target == target for loss in peer.losses)
         ]
 
+    @long_lived("peers", vital=True)
     def run(self) -> None:
         """Sends this VM's state regularly until it is killed."""
         while True:
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -43,6 +43,7 @@
 from siskindale.runtime import logs
 from siskindale.runtime.log_stream import BoundedStream
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import failing_tasks, long_lived, supervise
 
 if TYPE_CHECKING:
     from siskindale.proxy.forwarding import Forwarding
@@ -144,6 +145,7 @@
             self._forwarding_runners = create_forwarding(self._ownership, self._state, self._clock)
         return self._forwarding_runners
 
+    @long_lived("forwarding", vital=True)
     def _serve_forwarded(self) -> None:
         """Serves other VMs once some of them do not own all connections themselves.
 
@@ -191,7 +193,7 @@
             self._failover.run,
             self._duty.run,
         ):
-            gevent.spawn(background_task)
+            supervise(background_task)
         self._server.start()
         # Objects created by the imports live as long as the process and need no further collection.
         gc.freeze()
@@ -201,13 +203,14 @@
         self._stop()
         return ExitStatus.SUCCESS
 
+    @long_lived("peers-start")
     def _exchange_state(self) -> None:
         """Exchanges state with peers, delayed because its import would hold up first clients."""
         gevent.sleep(PEER_EXCHANGE_DELAY_S)
         from siskindale.transport.mailbox import Mailbox
 
         self._peers.connect(Mailbox(self._settings.vm, self._settings.peers, self._clock))
-        self._peers.run()
+        supervise(self._peers.run)
 
     def _serve_metrics(self, address: Address) -> None:
         """Serves metrics; if it cannot, the proxy still serves its clients."""
@@ -237,7 +240,7 @@
 
     def _is_ready(self) -> bool:
         ready = self._state.ready and self._directory.settled
-        return ready and not self._stopping.is_set()
+        return ready and not self._stopping.is_set() and not failing_tasks()
 
     def _note_restored(self, era: int) -> None:
         """Writes again what this VM keeps in the store; other writers do the same."""
@@ -296,6 +299,6 @@
         logs.configure(settings.log_level, cast(TextIO, stream), vm=settings.vm)
 
     gevent.spawn_later(LOG_SETUP_DELAY_S, configure_logs)
-    gevent.spawn(stream.run)
+    supervise(stream.run)
     atexit.register(stream.flush)
     return ProxyProgram(settings, load, listener).run()
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -177,19 +177,22 @@
             return
         self._targets_version = version
         self._targets_known = True
+        self._adopt_entries(entries, source)
+
+    def _adopt_entries(self, entries: Mapping[str, Mapping[str, Any] | None], source: str) -> None:
+        """Applies entries, where the failure of one concerns no other."""
         for target_id, raw in entries.items():
-            if raw is None:
-                self._note_missing(target_id)
-            else:
-                self._adopt_target(target_id, raw, source)
+            try:
+                if raw is None:
+                    self._note_missing(target_id)
+                else:
+                    self._adopt_target(target_id, raw, source)
+            except Exception:
+                logger().exception("registration-failed", target=target_id, source=source)
 
     def adopt_peer_changes(self, changes: Mapping[str, Mapping[str, Any] | None]) -> None:
         """Applies changes that a peer has seen; the known version of the table stays the same."""
-        for target_id, raw in changes.items():
-            if raw is None:
-                self._note_missing(target_id)
-            else:
-                self._adopt_target(target_id, raw, "peer")
+        self._adopt_entries(changes, "peer")
         self._changes_for_peers.clear()
 
     def take_changes(self) -> Mapping[str, TargetRegistration | None]:
--- a/siskindale/runtime/log_stream.py
+++ b/siskindale/runtime/log_stream.py
@@ -6,6 +6,7 @@
 import gevent
 
 from siskindale.runtime.counters import Metric
+from siskindale.runtime.supervision import long_lived
 
 # Sustained rate, and burst after a quiet period. A VM serves about a hundred statements a second
 # and logs one line for each; the limits bound what a burst of failures logs.
@@ -51,6 +52,7 @@
             self._dropped_count = 0
         self._buffer += text.encode(errors="replace")
 
+    @long_lived("log-output")
     def run(self) -> None:
         """Flushes periodically until the greenlet is killed."""
         while True:
--- a/siskindale/runtime/loop.py
+++ b/siskindale/runtime/loop.py
@@ -10,6 +10,7 @@
 
 from siskindale.context import Clock
 from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived, supervise
 
 MAX_TICK_INTERVAL_S = 1.0
 
@@ -27,7 +28,7 @@
 
     def start(self) -> None:
         """Starts the greenlet."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = supervise(self._run)
 
     def stop(self) -> None:
         """Kills the greenlet."""
@@ -38,6 +39,7 @@
         """Requests a tick; requests made before it runs are merged into one tick."""
         self._wake_requested.set()
 
+    @long_lived("tick-loop", vital=True)
     def _run(self) -> None:
         while True:
             self._wake_requested.clear()
--- a/siskindale/runtime/program.py
+++ b/siskindale/runtime/program.py
@@ -31,6 +31,7 @@
 from siskindale.runtime.commands import print_errors
 from siskindale.runtime.health import Report, create_health_server
 from siskindale.runtime.shutdown import Shutdown
+from siskindale.runtime.supervision import failing_tasks
 from siskindale.store.interface import PLATFORM_DRIVERS, Platform
 from siskindale.targets.interface import TARGET_DRIVERS, TargetDriver
 from siskindale.transport.mailbox import Delivery, Mailbox
@@ -164,6 +165,7 @@
     reasons = list(service.not_ready_reasons())
     if components.shutdown.draining:
         reasons.append("the program is draining")
+    reasons.extend(f"task failed repeatedly: {task}" for task in failing_tasks())
     if not components.bundles.ready:
         reasons.append("no bundle is in effect yet")
     return reasons
--- a/siskindale/transport/mailbox.py
+++ b/siskindale/transport/mailbox.py
@@ -17,6 +17,8 @@
 from siskindale.context import Clock
 from siskindale.models.address import Address
 from siskindale.models.messages import Body, Envelope
+from siskindale.runtime.logs import logger
+from siskindale.runtime.supervision import long_lived, supervise
 from siskindale.transport import codec
 from siskindale.transport.delays import DelayEstimator
 from siskindale.transport.metrics import TrafficCounters, TrafficPurpose
@@ -99,7 +101,7 @@
     def start(self) -> None:
         """Starts listening on the inbox and receiving messages."""
         self._inbox.listen(self._url)
-        self._greenlets = [gevent.spawn(self._receive), gevent.spawn(self._run_housekeeping)]
+        self._greenlets = [supervise(self._receive), supervise(self._run_housekeeping)]
 
     def close(self) -> None:
         """Stops receiving and closes all sockets."""
@@ -171,11 +173,13 @@
         outbox.last_used_at = self._clock.monotonic()
         return outbox
 
+    @long_lived("mailbox-housekeeping")
     def _run_housekeeping(self) -> None:
         while True:
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
             self.close_idle_outboxes()
 
+    @long_lived("mailbox", vital=True)
     def _receive(self) -> None:
         receive_fd = self._inbox.recv_fd
         while True:
@@ -205,7 +209,11 @@
         if handler is None or envelope.addressed_boot not in ("", self._boot):
             self._dropped_messages += 1
             return
-        handler(Delivery(envelope, body, self._message_delay_s(envelope)))
+        try:
+            handler(Delivery(envelope, body, self._message_delay_s(envelope)))
+        except Exception:
+            self._dropped_messages += 1
+            logger().exception("message-failed", kind=envelope.kind, sender=envelope.sender)
 
     def _traffic_purpose(self, kind: str, peer: str) -> TrafficPurpose:
         if kind in _STATEMENT_MESSAGE_KINDS:
