Probe primaries over the next free connection

Cause: a probe needed an idle connection, and reads leave none.

Change: probes take the next freed connection, before statements of clients.

--- a/siskindale/proxy/pool.py
+++ b/siskindale/proxy/pool.py
@@ -480,8 +480,8 @@
             self._start_opening(group, target)
 
     def confirm_primary(self, group: Group, target: Target, timeout_s: float) -> bool:
-        """Asks a target over an idle connection whether it is the primary; records the reply."""
-        connection = self.take_idle(target)
+        """Asks a target whether it is the primary; records the reply."""
+        connection = self.acquire_for_control(group, target, timeout_s)
         if connection is None:
             return False
         asked_at = self.now()
--- a/tests/proxy/test_target_faults.py
+++ b/tests/proxy/test_target_faults.py
@@ -3,12 +3,13 @@
 from unittest.mock import Mock
 
 import attrs
+import gevent
 import pytest
 
 from bench.processes import free_addresses, wait_until
 from siskindale.context import SystemClock
 from siskindale.proxy.pool import ConnectionPool
-from siskindale.proxy.tables import Group
+from siskindale.proxy.tables import Group, Need
 from standins.deployment.group import TargetGroup
 from tests.proxy.deployment import WAIT_TIMEOUT_S, Deployment, eventually
 from tests.proxy.settings import build_settings
@@ -88,3 +89,46 @@
     )
     pool.open_in_background(group, target)
     wait_until(lambda: read_registrations.called, WAIT_TIMEOUT_S, "they are read")
+
+
+def test_a_probe_gets_a_connection_that_statements_wait_for(group: Group) -> None:
+    """Guards against a new primary that is not noticed while reads keep all connections to it.
+
+    Seen in review/1: a promotion counted as not seen for 2.2 s, and a second VM ordered another.
+    """
+    (address,) = free_addresses(1)
+    targets = TargetGroup(group.name)
+    targets.add("a", address, primary=True, max_connections=1)
+    target = group.targets["a"]
+    target.entry = attrs.evolve(target.entry, address=address)
+    for other in (group.targets["b"], group.targets["c"]):
+        other.closed = True
+    pool = ConnectionPool(
+        build_settings(),
+        SystemClock(),
+        {group.name: group},
+        vm_count=lambda _: 1,
+        owns=lambda _: True,
+        notify_peers=Mock(),
+        read_registrations=Mock(),
+    )
+    need = Need(None, 1, pool.now() + WAIT_TIMEOUT_S, True, pool.now() + WAIT_TIMEOUT_S)
+    busy = pool.acquire(group, need)
+    assert busy is not None
+    order: list[str] = []
+
+    def run_statement() -> None:
+        connection = pool.acquire(group, need)
+        assert connection is not None
+        order.append("statement")
+        pool.release(group, connection)
+
+    def probe() -> None:
+        assert pool.confirm_primary(group, target, WAIT_TIMEOUT_S)
+        order.append("probe")
+
+    greenlets = [gevent.spawn(run_statement), gevent.spawn(probe)]
+    gevent.sleep(0)
+    pool.release(group, busy)
+    gevent.joinall(greenlets, timeout=WAIT_TIMEOUT_S, raise_error=True)
+    assert order == ["probe", "statement"]
