Bound the time and size of what is sent between VMs

Change: a send ends after 1 s and closes the stream, since a part of the message may have been sent. A message that is too large is refused before anything of it is sent, and the statement is answered so.

--- a/siskindale/proxy/forwarding.py
+++ b/siskindale/proxy/forwarding.py
@@ -32,6 +32,7 @@
 from siskindale.proxy.tables import Group
 from siskindale.proxy.transactions import Transaction
 from siskindale.runtime.logs import logger
+from siskindale.transport.frames import FrameTooLargeError
 
 # An owner that is short of processor time answers later than planned. Its certain answer is worth
 # more to the client than an unknown outcome at the deadline.
@@ -146,6 +147,8 @@
         except LinkBrokenError as error:
             self._selector.note_broken(owner)
             return self._after_broken_link(execution, owner, str(error))
+        except FrameTooLargeError as error:
+            return _refuse_too_large(execution.statement, error)
         if isinstance(received, ForwardedReply):
             received.reply.owner = received.owner
             return received.reply
@@ -181,6 +184,13 @@
         return Reply(error=error, detail=b"no owner in time")
 
 
+def _refuse_too_large(statement: Statement, error: FrameTooLargeError) -> Reply:
+    """Returns the reply to a statement that cannot be forwarded, with the values of its session."""
+    request = statement.request_id.decode(errors="replace")
+    logger().warning("forwarding-too-large", request=request, reason=str(error))
+    return Reply(error=ErrorCode.TOO_LARGE, detail=b"too large to forward")
+
+
 class ForwardingTransactionRunner:
     """Runs transactions at an owner, which keeps them under a handle of the link."""
 
@@ -234,6 +244,9 @@
             received = link.request(message, deadline + LATE_REPLY_S - self._state.now())
         except LinkBrokenError as error:
             received, reason = None, str(error)
+        except FrameTooLargeError as error:
+            self.end(transaction)
+            return _refuse_too_large(statement, error)
         if isinstance(received, ForwardedReply):
             received.reply.owner = received.owner
             return received.reply
@@ -292,5 +305,8 @@
                 self._selector.note_broken(owner)
                 excluded.add(owner.vm)
                 continue
+            except FrameTooLargeError as error:
+                logger().warning("forwarding-too-large", reason=str(error))
+                return
             metrics.FORWARDED.labels("transaction").inc()
             transaction.link = link
--- a/siskindale/proxy/owner.py
+++ b/siskindale/proxy/owner.py
@@ -31,7 +31,7 @@
 from siskindale.proxy.transactions import Transaction
 from siskindale.runtime.logs import logger
 from siskindale.runtime.supervision import long_lived, supervise
-from siskindale.transport.frames import FrameError, FrameStream
+from siskindale.transport.frames import FrameError, FrameStream, FrameTooLargeError
 
 IDLE_CHECK_INTERVAL_S = 0.5
 
@@ -232,7 +232,12 @@
         self._reply(number, reply)
 
     def _reply(self, number: int, reply: Reply) -> None:
-        self._send(ForwardedReply(reply, self._vm), number)
+        try:
+            self._send(ForwardedReply(reply, self._vm), number)
+        except FrameTooLargeError as error:
+            logger().warning("forwarded-reply-too-large", reason=str(error))
+            refused = Reply(error=ErrorCode.TOO_LARGE, detail=b"reply too large", state=reply.state)
+            self._send(ForwardedReply(refused, self._vm), number)
 
     def _send(self, body: Body, number: int) -> None:
         try:
--- a/siskindale/transport/frames.py
+++ b/siskindale/transport/frames.py
@@ -7,6 +7,7 @@
 import contextlib
 import socket as system_socket
 
+import gevent
 from gevent import socket
 from gevent.lock import RLock
 from returns.result import Failure
@@ -20,12 +21,19 @@
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_PROBE_S = 3
 KEEPALIVE_PROBES = 3
+# The other end takes messages as they come. One that does not for so long is lost or overrun, and
+# each greenlet that waits for it holds a statement.
+SEND_TIMEOUT_S = 1.0
 
 
 class FrameError(Exception):
     """The other end violated the framing."""
 
 
+class FrameTooLargeError(Exception):
+    """A message is longer than a frame may be; nothing of it was sent."""
+
+
 class FrameStream:
     """Sends and receives messages; several greenlets may send."""
 
@@ -41,10 +49,23 @@
         self._send_lock = RLock()
 
     def send(self, body: Body, number: int) -> None:
-        """Sends one message; raises `OSError` if the stream is broken."""
+        """Sends one message.
+
+        Raises `FrameTooLargeError`, or `OSError` if the stream is broken or the other end does not
+        read. A part of the message may have been sent then, so the stream is closed.
+        """
         data = codec.encode_frame(body, number)
-        with self._send_lock:
-            self._socket.sendall(data)
+        if len(data) > LENGTH_BYTES + MAX_FRAME_BYTES:
+            raise FrameTooLargeError(f"message of {len(data)} bytes")
+        try:
+            with (
+                gevent.Timeout(SEND_TIMEOUT_S, OSError("the other end does not read")),
+                self._send_lock,
+            ):
+                self._socket.sendall(data)
+        except BaseException:
+            self.close()
+            raise
 
     def receive(self) -> tuple[int, Body] | None:
         """Returns the number and body of the next message, None at the end of the stream.
