Answer a statement that hits a defect of the proxy

Suspected by reading, while forwarding of too large statements was bounded: an exception that nothing expects ended the session without an answer.

Change: such a statement is answered as unknown, which is true of any, and the session ends.

Evidence: test_a_defect_is_answered_and_ends_the_session; without the change the client gets READY and the end of the stream.

--- a/siskindale/proxy/session.py
+++ b/siskindale/proxy/session.py
@@ -70,6 +70,7 @@
         self._transaction_runner: AnyTransactionRunner
         self._phase = Phase.CONNECTED
         self._refusing = False
+        self._defective = False
 
     @property
     def started(self) -> bool:
@@ -177,15 +178,30 @@
             if statement is None:
                 return
             arrived_at = self._state.now()
-            reply = self._handle_statement(statement, arrived_at)
+            reply = self._answer(statement, arrived_at)
             self._send(wire.encode_reply(reply))
             self._report_reply(statement, reply, arrived_at)
             self._end_failed_transaction()
 
     @property
     def _finished(self) -> bool:
-        """Whether a session that refuses requests has none left to answer."""
-        return self._refusing and self._transaction is None and not self._has_input
+        """Whether the session ends: after a defect, or if it refuses requests and has none left."""
+        refused_all = self._refusing and self._transaction is None and not self._has_input
+        return self._defective or refused_all
+
+    def _answer(self, statement: Statement, arrived_at: float) -> Reply:
+        """Returns the reply to a statement, also if a defect of the program prevents it."""
+        try:
+            return self._handle_statement(statement, arrived_at)
+        except Exception:
+            request = statement.request_id.decode(errors="replace")
+            logger().exception("statement-failed", request=request, database=self._database)
+            self._defective = True
+            return Reply(
+                error=ErrorCode.OUTCOME_UNKNOWN,
+                detail=b"internal error",
+                state=SessionState.FAILED if self._transaction else SessionState.IDLE,
+            )
 
     def _report_reply(self, statement: Statement, reply: Reply, arrived_at: float) -> None:
         state = self._state
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -1,9 +1,14 @@
 """Client sessions through a proxy process, with the stand-in of the platform."""
 
+from unittest.mock import Mock
+
 import gevent
 import pytest
+from gevent import socket
 
-from tests.proxy.deployment import Deployment, Proxy, eventually
+from siskindale.proxy.decisions.identity import Caller
+from siskindale.proxy.session import ClientSession
+from tests.proxy.deployment import WAIT_TIMEOUT_S, Deployment, Proxy, eventually
 
 
 def test_reads_and_writes_carry_the_receipts_of_the_target(deployment: Deployment) -> None:
@@ -250,3 +255,21 @@
     assert (misplaced.error, misplaced.state) == (b"MALFORMED", b"E")
     assert client.query("READ item").error == b"MALFORMED"
     assert client.query("ROLLBACK").state == b"I"
+
+
+def test_a_defect_is_answered_and_ends_the_session() -> None:
+    """Guards against a client that gets no answer, and waits, because a statement hit a defect."""
+    state = Mock()
+    state.now.return_value = 0.0
+    state.identify.return_value = Caller("")
+    runners = Mock()
+    runners.statements_for.side_effect = RuntimeError("defect")
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    session = gevent.spawn(ClientSession(accepted, state, runners).run)
+    client.sendall(b"START db1 test\r\nQUERY q1 READ item\r\n")
+    session.join(WAIT_TIMEOUT_S)
+    received = client.makefile("rb").read()
+    assert received == b"READY I -\r\nERR UNKNOWN internal error\r\nREADY I -\r\n"
+    client.close()
