Prove that VMs which were gone or forgotten are found again

The test of a lost VM that returns passed without the code it names. Traced: questions about the lost VM that were still in progress when it returned reached it.

--- a/tests/proxy/test_members.py
+++ b/tests/proxy/test_members.py
@@ -10,7 +10,8 @@
 from siskindale.context import SystemClock
 from siskindale.models.address import Address
 from siskindale.models.members import MemberState
-from siskindale.proxy import directory
+from siskindale.proxy import directory, members
+from siskindale.proxy.decisions import membership
 from siskindale.proxy.members import Membership
 from tests.proxy.settings import build_settings
 
@@ -26,19 +27,19 @@
 
     def start_membership(vm: str, peers: Address, *seeds: Address) -> Membership:
         settings = build_settings(vm=vm, peers=peers, seeds=seeds)
-        membership = Membership(settings, SystemClock(), Random(vm), lambda: 1, lambda _: None)
-        membership.start()
-        started.append(membership)
-        return membership
+        member = Membership(settings, SystemClock(), Random(vm), lambda: 1, lambda _: None)
+        member.start()
+        started.append(member)
+        return member
 
     yield start_membership
-    for membership in started:
-        membership.stop()
+    for member in started:
+        member.stop()
 
 
-def knows(membership: Membership, vm: str, state: MemberState) -> bool:
+def knows(member: Membership, vm: str, state: MemberState) -> bool:
     """Returns whether a VM believes another one to be in a state."""
-    fact = membership.table.fact(vm)
+    fact = member.table.fact(vm)
     return fact is not None and fact.state is state
 
 
@@ -71,6 +72,8 @@
         TIMEOUT_S,
         "the lost VM is gone",
     )
+    # Questions about the lost VM that are still in progress would reach it.
+    gevent.sleep(members.PROBE_INTERVAL_S + members.INDIRECT_TIMEOUT_S)
     returned = start("vm2", addresses[2])
     wait_until(
         lambda: all(knows(member, "vm2", MemberState.ALIVE) for member in rest),
@@ -80,6 +83,31 @@
     wait_until(lambda: len(returned.table.members()) == 3, TIMEOUT_S, "it knows the others")
 
 
+def test_a_vm_that_was_forgotten_is_found_again(
+    start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against halves of a fleet that never meet again after a long partition."""
+    monkeypatch.setattr(membership, "GONE_RETENTION_S", 0.5)
+    addresses = free_addresses(3)
+    fleet = [start(f"vm{i}", address, addresses[0]) for i, address in enumerate(addresses)]
+    wait_until(lambda: all(len(m.table.members()) == 3 for m in fleet), TIMEOUT_S, "all known")
+    returned: list[int] = []
+    fleet[0].on_returned(lambda: returned.append(1))
+    fleet[2].stop()
+    rest = fleet[:2]
+    wait_until(
+        lambda: all(member.table.fact("vm2") is None for member in rest), TIMEOUT_S, "forgotten"
+    )
+    back = start("vm2", addresses[2])
+    wait_until(
+        lambda: all(knows(member, "vm2", MemberState.ALIVE) for member in rest),
+        TIMEOUT_S,
+        "the VM is a member again",
+    )
+    wait_until(lambda: len(back.table.members()) == 3, TIMEOUT_S, "it knows the others")
+    assert returned
+
+
 def test_malformed_datagrams_are_ignored(start: Start) -> None:
     """Guards against a membership that ends at a datagram of another program."""
     addresses = free_addresses(2)
