Bound the numbers in replies of targets and answers of the store

Change: numbers of up to 18 digits, eras of up to 6; other answers of the store are failures with their reason.

--- a/siskindale/platform/store.py
+++ b/siskindale/platform/store.py
@@ -184,7 +184,10 @@
 
 
 def _decode_changes(table: str, response: _StoreResponse) -> Result[Changes, PlatformError]:
-    rows = [_decode_row(table, response.era, row) for row in response.body.get("rows") or ()]
+    try:
+        rows = [_decode_row(table, response.era, row) for row in response.body.get("rows") or ()]
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
+        return Failure(PlatformError(PlatformFailure.UNKNOWN, f"malformed rows: {error!r}"))
     return _decode_version(response).map(lambda version: Changes(tuple(rows), version))
 
 
--- a/siskindale/platform/wire.py
+++ b/siskindale/platform/wire.py
@@ -24,6 +24,8 @@
 READ_CHUNK_BYTES = 1 << 16
 # Stands for an absent position or receipt, and is the request id of statements of the proxy itself.
 ABSENT = b"-"
+# Numbers of so many digits fit into 64 bits.
+MAX_NUMBER_DIGITS = 18
 CLOSE = b"CLOSE\r\n"
 # Stands for the workspace on connections that serve no particular one.
 _NO_WORKSPACE = "siskindale"
@@ -289,10 +291,16 @@
 
 def decode_position(text: bytes) -> LogPosition | None:
     """Decodes a log position; returns None if the text is not one."""
-    term, dot, number = text.partition(b".")
-    if not dot or not term.isdigit() or not number.isdigit():
+    term, _, number = text.partition(b".")
+    numbers = _decode_number(term), _decode_number(number)
+    return None if None in numbers else LogPosition(*numbers)  # type: ignore[arg-type]
+
+
+def _decode_number(text: bytes) -> int | None:
+    """Decodes a number that fits into messages between VMs; returns None for any other text."""
+    if not text.isdigit() or len(text) > MAX_NUMBER_DIGITS:
         return None
-    return LogPosition(int(term), int(number))
+    return int(text)
 
 
 @attrs.frozen
@@ -306,9 +314,10 @@
 def decode_status(row: bytes) -> TargetStatus | None:
     """Decodes a status row: role, term, received position, term held and counters."""
     fields = row.split(b" ")
-    if len(fields) < 4 or not (fields[1].isdigit() and fields[3].isdigit()):
+    if len(fields) < 4:
         return None
+    terms = _decode_number(fields[1]), _decode_number(fields[3])
     received = decode_position(fields[2])
-    if received is None:
+    if received is None or terms[0] is None or terms[1] is None:
         return None
-    return TargetStatus(received, max(int(fields[1]), int(fields[3])))
+    return TargetStatus(received, max(terms[0], terms[1]))
--- a/siskindale/store/versions.py
+++ b/siskindale/store/versions.py
@@ -10,6 +10,8 @@
 ERA_HEADER = "store-era"
 # Lasts ten years at 3,200 commits a second, and leaves 8,191 eras within the integers of JSON.
 COMMIT_BITS = 40
+# Versions fit into 63 bits.
+MAX_ERA_DIGITS = 6
 # Stands for a row that does not exist and for a table that was not read yet.
 NO_VERSION = 0
 
@@ -52,7 +54,8 @@
         """
         known = self.era
         text = headers.get(ERA_HEADER, "")
-        era = int(text) if text.isdecimal() else known
+        valid = text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+        era = int(text) if valid else known
         if era < known:
             return None
         restored = self._era is not None and era > known
