--- a/bench/commands.py
+++ b/bench/commands.py
@@ -1,6 +1,7 @@
 """Commands of bench that each measure one quantity."""
 
 import itertools
+import os
 import platform
 import subprocess
 import sys
@@ -20,6 +21,8 @@
 from bench import speed as speed_bench
 from bench.capacity import callers, model, node, page
 from bench.processes import ROOT
+from bench.soak.report import soak_report
+from bench.soak.run import SoakPlan, run_soak
 
 POOL_UTILISATION = 0.75
 IDLE_CALLER_COUNTS = (500, 1000, 2000, 4000)
@@ -223,3 +226,29 @@
     return subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, check=True
     ).stdout.strip()
+
+
+@app.command()
+def soak(
+    seed: Annotated[int, typer.Option(help="First seed.")] = 1,
+    seeds: Annotated[int, typer.Option(help="Number of seeds, one run each.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Time in which troubles begin.")] = 30.0,
+    vms: Annotated[int, typer.Option(help="Number of session proxies.")] = 3,
+    out: Annotated[Path | None, typer.Option(help="File for the figures of each run.")] = None,
+) -> None:
+    """Run session proxies under overlapping troubles and judge what callers saw.
+
+    With TROUBLE=0 in the environment the callers run without troubles.
+    """
+    troubles = os.environ.get("TROUBLE", "1") != "0"
+    reports = []
+    for current in range(seed, seed + seeds):
+        with tempfile.TemporaryDirectory(prefix="siskindale-soak-") as directory:
+            plan = SoakPlan(current, seconds, vms, troubles)
+            report = soak_report(plan, *run_soak(plan, Path(directory)))
+        print("\n".join(report.lines()), flush=True)
+        reports.append(report)
+    if out is not None:
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(reports)))
+    if any(report.violations for report in reports):
+        raise typer.Exit(1)
--- a/tests/proxy/deployment.py
+++ b/bench/proxy_deployment.py
@@ -35,13 +35,24 @@
 class Client:
     """A session of a client."""
 
-    def __init__(self, address: Address, database: str = DATABASE, key: str = "test") -> None:
+    def __init__(
+        self,
+        address: Address,
+        database: str = DATABASE,
+        key: str = "test",
+        timeout_s: float = WAIT_TIMEOUT_S,
+    ) -> None:
         self._ids = itertools.count(1)
-        self._socket = socket.create_connection((address.host, address.port), WAIT_TIMEOUT_S)
+        self._socket = socket.create_connection((address.host, address.port), timeout_s)
         self._file = self._socket.makefile("rb")
         self._socket.sendall(f"START {database} {key}\r\n".encode())
         self.greeting = self._file.readline()
 
+    @property
+    def socket(self) -> socket.socket:
+        """Connection of the session."""
+        return self._socket
+
     def send(self, data: bytes) -> None:
         """Sends raw bytes."""
         self._socket.sendall(data)
@@ -54,7 +65,9 @@
 
     def read_reply(self) -> ClientReply:
         """Reads a complete reply; raises `ConnectionError` at the end of the stream."""
-        rows, receipt, error = [], None, None
+        rows: list[bytes] = []
+        receipt: bytes | None = None
+        error: bytes | None = None
         while True:
             line = self._file.readline()
             if not line:
@@ -213,6 +226,10 @@
             wait_until(lambda: proxy.ready, WAIT_TIMEOUT_S, "proxy is ready")
         return proxy
 
+    def restart_proxy(self, name: str) -> None:
+        """Starts the process of a proxy again, with the settings that it had."""
+        self._processes.restart(name)
+
     def start_with_settings(
         self, name: str, path: Path, clients: Address, readiness: Address
     ) -> "Proxy":
--- a/standins/deployment/group.py
+++ b/standins/deployment/group.py
@@ -290,6 +290,7 @@
     """Targets with copies of one database; commits reach replicas after `lag_s`.
 
     A commit is acknowledged once `synchronous_replicas` replicas have received it.
+    `before_promotion` is called with the target that is about to lead.
     """
 
     name: str
@@ -298,6 +299,7 @@
     term: int = 1
     targets: dict[str, TargetStandin] = attrs.field(factory=dict)
     executions: list[Execution] = attrs.field(factory=list)
+    before_promotion: Callable[[TargetStandin], None] = lambda _: None
 
     def add(self, target_id: str, address: Address, primary: bool, max_connections: int) -> None:
         """Adds and starts a target."""
@@ -333,6 +335,7 @@
         if successor.server is None:
             return False
         if not successor.primary:
+            self.before_promotion(successor)
             self.term += 1
             for target in self.targets.values():
                 target.primary = target is successor
--- a/tests/proxy/conftest.py
+++ b/tests/proxy/conftest.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bench.processes import Processes
+from bench.proxy_deployment import Deployment
 from siskindale.models.address import Address
 from siskindale.models.catalog import (
     Consistency,
@@ -18,7 +19,6 @@
 )
 from siskindale.models.group import Role
 from siskindale.proxy.tables import Group, Target
-from tests.proxy.deployment import Deployment
 
 
 @pytest.fixture
--- a/tests/proxy/test_deployment.py
+++ b/tests/proxy/test_deployment.py
@@ -9,8 +9,8 @@
 import pytest
 
 from bench.processes import Processes
+from bench.proxy_deployment import WAIT_TIMEOUT_S, Deployment, eventually
 from siskindale.exits import ExitStatus
-from tests.proxy.deployment import WAIT_TIMEOUT_S, Deployment, eventually
 
 
 def test_a_crashed_primary_is_replaced(deployment: Deployment) -> None:
--- a/tests/proxy/test_duty.py
+++ b/tests/proxy/test_duty.py
@@ -7,12 +7,12 @@
 import pytest
 
 from bench.processes import free_addresses
+from bench.proxy_deployment import GROUP, Deployment, Proxy, eventually
 from siskindale.models.address import Address
 from siskindale.platform.store import PlatformStore
 from siskindale.proxy.duty import FailoverDuty
 from siskindale.store.versions import version_in_era
 from standins.deployment.store import PlatformStandin
-from tests.proxy.deployment import GROUP, Deployment, Proxy, eventually
 from tests.proxy.settings import build_settings
 
 
--- a/tests/proxy/test_followers.py
+++ b/tests/proxy/test_followers.py
@@ -8,11 +8,11 @@
 from returns.result import Failure, Result, Success
 
 from bench.processes import wait_until
+from bench.proxy_deployment import WAIT_TIMEOUT_S, Deployment, eventually
 from siskindale.platform.store import CONNECT_TIMEOUT_S, WATCH_TIMEOUT_MARGIN_S
 from siskindale.proxy import followers
 from siskindale.store.interface import Changes, PlatformError, PlatformFailure
 from tests.fakes.platform import FakePlatform
-from tests.proxy.deployment import WAIT_TIMEOUT_S, Deployment, eventually
 from tests.proxy.settings import build_settings
 
 
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -7,8 +7,8 @@
 import pytest
 from gevent import socket
 
+from bench.proxy_deployment import Deployment, Proxy, eventually
 from siskindale.proxy.program import FORWARDING_CHECK_INTERVAL_S, PEER_EXCHANGE_DELAY_S
-from tests.proxy.deployment import Deployment, Proxy, eventually
 
 VMS = 4
 
--- a/tests/proxy/test_idle_transactions.py
+++ b/tests/proxy/test_idle_transactions.py
@@ -2,9 +2,9 @@
 
 from gevent.event import AsyncResult
 
+from bench.proxy_deployment import Deployment, eventually
 from siskindale.proxy.decisions import idle_transactions
 from siskindale.proxy.tables import Group, Need, Waiter
-from tests.proxy.deployment import Deployment, eventually
 
 WRITE = Need(None, 1, 9.0, primary_only=True, objective_at=8.0)
 
--- a/tests/proxy/test_other_writers.py
+++ b/tests/proxy/test_other_writers.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 from returns.result import Success
 
+from bench.proxy_deployment import Deployment, eventually
 from siskindale.models.gossip import TargetsNotice
 from siskindale.models.members import MemberFact, MemberFacts
 from siskindale.platform.entries import decode_catalog, decode_target, encode_target
 from siskindale.proxy import directory
 from siskindale.transport import codec
-from tests.proxy.deployment import Deployment, eventually
 
 VALID_TARGET: dict[str, Any] = {
     "service": "g1",
--- a/tests/proxy/test_restored_store.py
+++ b/tests/proxy/test_restored_store.py
@@ -6,11 +6,11 @@
 import gevent
 import pytest
 
+from bench.proxy_deployment import Deployment, Proxy, eventually
 from siskindale.proxy.directory import DIRECTORY_TABLE
 from siskindale.proxy.duty import DUTY_KEY, DUTY_TABLE
 from siskindale.proxy.followers import MISSING_TIMEOUT_S
 from standins.deployment.store import PlatformStandin
-from tests.proxy.deployment import Deployment, Proxy, eventually
 
 # More commits than a deployment makes after a restoration within a test.
 LOST_COMMITS = 60
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -6,9 +6,9 @@
 import pytest
 from gevent import socket
 
+from bench.proxy_deployment import WAIT_TIMEOUT_S, Deployment, Proxy, eventually
 from siskindale.proxy.decisions.identity import Caller
 from siskindale.proxy.session import ClientSession
-from tests.proxy.deployment import WAIT_TIMEOUT_S, Deployment, Proxy, eventually
 
 
 def test_reads_and_writes_carry_the_receipts_of_the_target(deployment: Deployment) -> None:
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from bench.processes import free_addresses, wait_until
+from bench.proxy_deployment import WAIT_TIMEOUT_S, Client, Deployment, Proxy, eventually
 from siskindale.proxy.decisions.draining import (
     BALANCER_STOP_S,
     DrainPhase,
@@ -21,7 +22,6 @@
 from siskindale.proxy.decisions.identity import Caller
 from siskindale.proxy.server import SessionServer
 from siskindale.proxy.session import ClientSession
-from tests.proxy.deployment import WAIT_TIMEOUT_S, Client, Deployment, Proxy, eventually
 
 GRACE_S = 6.0
 TICK_S = 0.05
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -11,9 +11,9 @@
 import pytest
 
 from bench.processes import ROOT, Processes, free_addresses
+from bench.proxy_deployment import WAIT_TIMEOUT_S, Deployment, eventually
 from siskindale.exits import ExitStatus
 from siskindale.proxy import listening
-from tests.proxy.deployment import WAIT_TIMEOUT_S, Deployment, eventually
 
 HEAVY = ("gevent", "attr", "returns", "httptools", "msgspec", "pathlib")
 
--- a/tests/proxy/test_store_faults.py
+++ b/tests/proxy/test_store_faults.py
@@ -1,7 +1,7 @@
 """A store that is slow, limits the rate of calls, or loses responses."""
 
+from bench.proxy_deployment import Deployment, eventually
 from siskindale.store.versions import version_in_era
-from tests.proxy.deployment import Deployment, eventually
 
 
 def test_a_slow_store_does_not_delay_statements(deployment: Deployment) -> None:
--- a/tests/proxy/test_succession.py
+++ b/tests/proxy/test_succession.py
@@ -4,6 +4,7 @@
 import gevent
 import pytest
 
+from bench.proxy_deployment import Client, Deployment, Proxy, eventually
 from siskindale.models.catalog import GroupLimits, RegistrationState
 from siskindale.models.group import LogPosition
 from siskindale.proxy.decisions.succession import (
@@ -12,7 +13,6 @@
     rank_successors,
 )
 from siskindale.proxy.tables import Group
-from tests.proxy.deployment import Client, Deployment, Proxy, eventually
 
 
 def log(position: int, exact: bool = True, stopped: bool = True) -> ReplicaLog:
--- a/tests/proxy/test_target_faults.py
+++ b/tests/proxy/test_target_faults.py
@@ -7,11 +7,11 @@
 import pytest
 
 from bench.processes import free_addresses, wait_until
+from bench.proxy_deployment import WAIT_TIMEOUT_S, Deployment, eventually
 from siskindale.context import SystemClock
 from siskindale.proxy.pool import ConnectionPool
 from siskindale.proxy.tables import Group, Need
 from standins.deployment.group import TargetGroup
-from tests.proxy.deployment import WAIT_TIMEOUT_S, Deployment, eventually
 from tests.proxy.settings import build_settings
 
 
--- a/tests/proxy/test_workspaces.py
+++ b/tests/proxy/test_workspaces.py
@@ -7,8 +7,8 @@
 import gevent
 import pytest
 
+from bench.proxy_deployment import GROUP, Deployment, Proxy, eventually
 from siskindale.membership.rendezvous import rendezvous_score
-from tests.proxy.deployment import GROUP, Deployment, Proxy, eventually
 
 REVOKE_MS = 2500
 
