Accept that a process ends by SIGTERM before its program runs, in the soak

A script of SIGTERM at 5 to 300 ms after the start gave -15 up to 50 ms and 0 from 80 ms on: until then the interpreter has not reached the program, which keeps the signal as its first step, before it opens its socket. So no request can be lost. The check accepts just that: SIGTERM within 0.1 s of the start.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -1,8 +1,9 @@
 """Checks of a soak's record, one for each promise; each returns the violations that it finds."""
 
+import signal
 from collections.abc import Callable, Iterator
 
-from bench.soak.history import Record, Request
+from bench.soak.history import Record, Request, VmEvent
 from siskindale.registry import Registry
 
 # Errors by which nothing of a request is kept.
@@ -13,6 +14,8 @@
 RECOVERY_SHARE = 0.75
 # Time after the last trouble in which requests may still fail.
 RECOVERY_S = 8.0
+# The interpreter takes some tens of milliseconds until it runs the program.
+INTERPRETER_START_S = 0.1
 # Longer than a statement, a grace period or a pause lasts.
 UNDISTURBED_S = 6.0
 
@@ -89,12 +92,22 @@
 
 @CHECKS.register("no-own-ends")
 def no_own_ends(record: Record) -> Iterator[str]:
-    """No process ends by itself, or otherwise than by status 0 after SIGTERM."""
+    """No process ends by itself, or otherwise than by status 0 after SIGTERM.
+
+    A process that gets SIGTERM before its program runs has opened nothing, and ends by the signal.
+    """
     for event in record.vm_events:
-        if event.kind == "ended" and event.status != 0:
+        early = event.status == -signal.SIGTERM and _stopped_before_it_ran(record, event)
+        if event.kind == "ended" and event.status != 0 and not early:
             yield f"{event.vm} ended with status {event.status}"
 
 
+def _stopped_before_it_ran(record: Record, ended: VmEvent) -> bool:
+    events = [e for e in record.vm_events if e.vm == ended.vm and e.at < ended.at]
+    kinds = [event.kind for event in events[-2:]]
+    return kinds == ["started", "sigterm"] and events[-1].at - events[-2].at < INTERPRETER_START_S
+
+
 @CHECKS.register("no-failed-tasks")
 def no_failed_tasks(record: Record) -> Iterator[str]:
     """No long-lived task, session or message fails by an exception."""
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -63,6 +63,11 @@
     record.vm_events.append(VmEvent("vm1", "ended", 60.0, 1))
 
 
+def end_by_sigterm_while_it_runs(record: Record) -> None:
+    events = (("started", 59.0, None), ("sigterm", 60.0, None), ("ended", 60.1, -15))
+    record.vm_events += [VmEvent("vm1", *event) for event in events]
+
+
 def fail_a_task(record: Record) -> None:
     record.logs["vm1"] = "timestamp=1 level=error event=task-failed vm=vm1 task=targets"
 
@@ -82,6 +87,7 @@
         ("whole-answers", leave_undisturbed_without_answer),
         ("not-run", deny_a_run),
         ("no-own-ends", end_by_itself),
+        ("no-own-ends", end_by_sigterm_while_it_runs),
         ("no-failed-tasks", fail_a_task),
         ("recovery", stay_away),
     ],
@@ -95,6 +101,17 @@
     assert set(CHECKS.names) >= {check}
 
 
+def test_a_process_may_end_by_sigterm_before_its_program_runs() -> None:
+    """Guards against a check that rejects what the product cannot prevent.
+
+    Seen with seed 108: SIGTERM 22 ms after the start, and the end 21 ms later.
+    """
+    record = sound_record()
+    events = (("started", 60.0, None), ("sigterm", 60.02, None), ("ended", 60.05, -15))
+    record.vm_events += [VmEvent("vm1", *event) for event in events]
+    assert run_checks(record) == {}
+
+
 @pytest.mark.parametrize("seed", [11, 15])
 def test_a_short_soak_finds_nothing(tmp_path: Path, seed: int) -> None:
     """Guards against the faults that overlapping troubles show: `python -m bench soak`."""
