Move the review case on session values to review/7, in its final form

Cause: a graver case takes the place of the first.

Change: an EXEC without an answer within 5 s counts as broken, the claim says so, and the stand-in of the platform records who orders promotions.

--- a/review/6/case.py
+++ b/review/7/case.py
@@ -60,7 +60,11 @@
             held = False
             lab.record.write("broken", f"{request_id} ran with {values}, acknowledged tz=rodopi")
     for number in range(3):
-        request_id, outcome, _ = preparing.query(f"EXEC s item{number}", 0.02)
+        try:
+            request_id, outcome, _ = preparing.query(f"EXEC s item{number}", 0.02)
+        except TimeoutError:
+            lab.record.write("broken", "EXEC of an acknowledged name had no answer for 5 s")
+            return False
         unknown = unknown_name_replies(lab, request_id)
         if unknown:
             held = False
--- a/review/standin2/lab.py
+++ b/review/standin2/lab.py
@@ -37,6 +37,8 @@
 PROMOTE_S = 0.6
 READY_TIMEOUT_S = 25.0
 REPLY_TIMEOUT_S = 8.0
+# Fence numbers hold the era of the store above the number of the commit.
+COMMIT_MASK = (1 << 40) - 1
 _USED: set[Address] = set()
 
 
@@ -338,11 +340,21 @@
         group = self.groups[group_name]
         target = group.targets.get(target_id)
         running = target is not None and target.server is not None
-        self.record.write("platform", f"promote {group_name} {target_id} accepted={running}")
+        call = self.platform.promotions[-1]
+        self.record.write(
+            "platform",
+            f"promote {target_id} by {call.holder} with fence number "
+            f"{call.fencing_token & COMMIT_MASK}, accepted={running}; {self._duty()}",
+        )
         if running:
             gevent.spawn_later(PROMOTE_S, self._finish_promotion, group, target_id)
         return running
 
+    def _duty(self) -> str:
+        """Returns who holds the failover duty according to the store."""
+        row = self.platform.row("duties", "failover")
+        return f"the store has {row.value['holder']} with {row.version}" if row else "no holder"
+
     def _finish_promotion(self, group: Group, target_id: str) -> None:
         if not group.targets[target_id].primary and group.promote(target_id):
             self.record.write("platform", f"{target_id} leads term {group.term}")
@@ -410,8 +422,8 @@
             },
         )
 
-    def start(self) -> None:
-        """Starts all VMs and waits until each is ready and knows the others."""
+    def start(self, interval_s: float = 0.0) -> None:
+        """Starts all VMs, one each `interval_s`, and waits until all are ready."""
         self.configure(1)
         seeds: list[str] = []
         for number in range(1, self._vm_count + 1):
@@ -421,6 +433,7 @@
             self.vms[vm.name] = vm
         for vm in self.vms.values():
             vm.start()
+            gevent.sleep(interval_s)
         for vm in self.vms.values():
             vm.wait_ready()
         self.record.write("vm", "all are ready")
