Let the review scripts name TROUBLE and end what they started

Cause: the scripts left TROUBLE to their stand-ins, and one that was ended from outside left its VMs running and didn't exit with 2.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,14 @@
 
 import gevent  # noqa: E402
 
-from review.standin2.lab import Client, CuttableTarget, Group, Lab, troubled  # noqa: E402
+from review.standin2.lab import (  # noqa: E402
+    Client,
+    CuttableTarget,
+    Group,
+    Lab,
+    run_case,
+    troubled,
+)
 from review.standin2.synchronous import SynchronousGroup, use_slots  # noqa: E402
 
 SEED = int(os.environ.get("SEED", "1"))
@@ -134,18 +141,15 @@
 
 
 def main() -> int:
-    """Runs the case; returns 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    """Runs the case; returns the exit status of the script."""
     use_slots()
-    path = Path(os.environ.get("RECORD", Path(__file__).parent / "record.txt"))
-    with SynchronousLab(path) as lab:
-        try:
-            lab.start(START_INTERVAL_S)
-            held = run(lab)
-        except (AssertionError, OSError, TimeoutError, gevent.Timeout, StopIteration) as error:
-            lab.record.write("failed", f"the case could not run: {error!r}")
-            return 2
-        lab.record.write("result", "the rule held" if held else "the rule was broken")
-        return 0 if held else 1
+    lab = SynchronousLab(Path(os.environ.get("RECORD", Path(__file__).parent / "record.txt")))
+
+    def case() -> bool:
+        lab.start(START_INTERVAL_S)
+        return run(lab)
+
+    return run_case(lab, case)
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,7 +9,14 @@
 
 import gevent  # noqa: E402
 
-from review.standin2.lab import Client, CuttableTarget, Lab, troubled, wait_until  # noqa: E402
+from review.standin2.lab import (  # noqa: E402
+    Client,
+    CuttableTarget,
+    Lab,
+    run_case,
+    troubled,
+    wait_until,
+)
 
 # The longest cut of single machines on the small sites is 5.5 s.
 MAX_CUT_S = 5.0
@@ -78,16 +85,14 @@
 
 
 def main() -> int:
-    """Runs the case; returns 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    with Lab(Path(__file__).parent / "record.txt") as lab:
-        try:
-            lab.start()
-            held = run(lab)
-        except (AssertionError, OSError, TimeoutError, gevent.Timeout) as error:
-            lab.record.write("failed", f"the case could not run: {error!r}")
-            return 2
-        lab.record.write("result", "the rule held" if held else "the rule was broken")
-        return 0 if held else 1
+    """Runs the case; returns the exit status of the script."""
+    lab = Lab(Path(__file__).parent / "record.txt")
+
+    def case() -> bool:
+        lab.start()
+        return run(lab)
+
+    return run_case(lab, case)
 
 
 if __name__ == "__main__":
--- a/review/standin2/lab.py
+++ b/review/standin2/lab.py
@@ -36,6 +36,8 @@
 HEARTBEAT_S = 1.2
 PROMOTE_S = 0.6
 READY_TIMEOUT_S = 25.0
+# A script has 120 s; what it started has to be ended by then.
+SCRIPT_TIMEOUT_S = 105.0
 REPLY_TIMEOUT_S = 8.0
 # Fence numbers hold the era of the store above the number of the commit.
 COMMIT_MASK = (1 << 40) - 1
@@ -461,6 +463,24 @@
         self.record.close()
 
 
+def run_case(lab: "Lab", case: Callable[[], bool]) -> int:
+    """Runs a case; returns 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+    SIGTERM ends it, too, after all processes that it started.
+    """
+    gevent.signal_handler(signal.SIGTERM, gevent.kill, gevent.getcurrent(), SystemExit(2))
+    with lab:
+        lab.record.write("case", f"TROUBLE={int(troubled())}")
+        try:
+            with gevent.Timeout(SCRIPT_TIMEOUT_S):
+                held = case()
+        except (AssertionError, OSError, StopIteration, gevent.Timeout) as error:
+            lab.record.write("failed", f"the case could not run: {error!r}")
+            return 2
+        lab.record.write("result", "the rule held" if held else "the rule was broken")
+        return 0 if held else 1
+
+
 def troubled() -> bool:
     """Whether the script applies its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
