Let one VM at a time act on the replicas of a group whose primary it replaces

Cause: while a replica was cut off from all VMs, the holder of the failover duty could not make sure of a successor, and after 0.5 s the next VM took the duty, then the next. Nobody told that it took it, so the former holders went on with older tokens, which the platform accepts until it has seen a newer one. Each VM that gave up sent RESUME to the replicas, also when another one had just ordered a promotion that relied on their stop.

A VM that takes the duty clears what an earlier holder left stopped. A delayed answer of the store no longer brings back a token that a peer's notice has ended.

The stand-in now knows the held term, and notes stops and promotions.

--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -35,6 +35,14 @@
     running: float
 
 
+@attrs.frozen
+class HeldDuty:
+    """A duty that the sender holds with a fencing token, by the key of its row in the store."""
+
+    key: str
+    fencing_token: int
+
+
 @message("gossip")
 @attrs.frozen
 class Gossip:
@@ -44,7 +52,7 @@
     `starved` lists the targets (by group and id) that have no connection left for the sender.
     `wants_answer` asks for the receiver's own state, of which the sender has not heard lately.
     `demands` are those of the workspaces for which the sender is the home. `loads` are what it runs
-    at the targets whose connections it shares with other owners.
+    at the targets whose connections it shares with other owners. `duties` are those that it holds.
     """
 
     vm: str
@@ -56,6 +64,7 @@
     wants_answer: bool = False
     demands: tuple[WorkspaceDemand, ...] = ()
     loads: tuple[OwnerLoad, ...] = ()
+    duties: tuple[HeldDuty, ...] = ()
 
 
 @message("state-request")
@@ -116,3 +125,15 @@
     target: str
     fencing_token: int
     accepted: bool
+
+
+@message("preparation-notice")
+@attrs.frozen
+class PreparationNotice:
+    """Announces that the holder of the failover duty prepares a promotion in a group.
+
+    Repeated until the promotion is ordered, so that no other VM takes the duty in the meantime.
+    """
+
+    group: str
+    fencing_token: int
--- a/siskindale/platform/wire.py
+++ b/siskindale/platform/wire.py
@@ -305,10 +305,14 @@
 
 @attrs.frozen
 class TargetStatus:
-    """What a target says of its log: how far it has received it, and the newest term it knows."""
+    """What a target says of its log: how far it has received it, and the newest term it knows.
+
+    `leads` if it sees itself as the primary.
+    """
 
     received: LogPosition
     newest_term: int
+    leads: bool = False
 
 
 def decode_status(row: bytes) -> TargetStatus | None:
@@ -320,4 +324,4 @@
     received = decode_position(fields[2])
     if received is None or terms[0] is None or terms[1] is None:
         return None
-    return TargetStatus(received, max(terms[0], terms[1]))
+    return TargetStatus(received, max(terms[0], terms[1]), fields[0] == b"primary")
--- a/siskindale/proxy/connection.py
+++ b/siskindale/proxy/connection.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket as system_socket
+import struct
 from collections.abc import Iterable
 
 import attrs
@@ -115,6 +116,13 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(system_socket.SHUT_RDWR)
 
+    def withdraw(self) -> None:
+        """Lets the next close drop what the target's host has not received, by a reset."""
+        with contextlib.suppress(OSError):
+            self._socket.setsockopt(
+                system_socket.SOL_SOCKET, system_socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+
     def rest(self) -> None:
         """Records that its transaction waits for the client."""
         self.resting = True
--- a/siskindale/proxy/decisions/succession.py
+++ b/siskindale/proxy/decisions/succession.py
@@ -18,13 +18,15 @@
     """What a replica has told of its log.
 
     `received` is the end of its log, a lower bound unless `exact`. `newest_term` is the newest term
-    it has heard of. With `stopped` it receives nothing more until a promotion.
+    it has heard of. With `stopped` it receives nothing more until a promotion. `leads` if it sees
+    itself as the primary.
     """
 
     received: LogPosition
     newest_term: int = 0
     exact: bool = True
     stopped: bool = False
+    leads: bool = False
 
 
 def replicas(group: Group) -> list[Target]:
@@ -60,6 +62,15 @@
     )
 
 
+def enough_answered(group: Group, successor: Target, logs: Mapping[str, ReplicaLog]) -> bool:
+    """Returns whether a successor can turn out to have all acknowledged commits.
+
+    Otherwise stopping the other replicas would only hold up commits.
+    """
+    silent = [target for target in other_replicas(group, successor) if target.id not in logs]
+    return len(silent) < max(1, group.limits.synchronous_replicas)
+
+
 def may_lack_acknowledged(group: Group, successor: Target, logs: Mapping[str, ReplicaLog]) -> bool:
     """Returns whether a commit may be acknowledged, now or later, that a successor lacks."""
     synchronous = group.limits.synchronous_replicas
--- a/siskindale/proxy/duty.py
+++ b/siskindale/proxy/duty.py
@@ -2,20 +2,17 @@
 
 import itertools
 import os
-from collections.abc import Iterable
+from collections.abc import Callable
 
 import gevent
 from returns.result import Failure, Result, Success
 
-from siskindale.membership.rendezvous import rendezvous_score
+from siskindale.models.gossip import HeldDuty
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy import metrics
 from siskindale.proxy.ownership import Ownership
-from siskindale.proxy.peers import Peer, Peers
-from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group
 from siskindale.runtime.logs import logger
-from siskindale.runtime.supervision import long_lived
 from siskindale.store.interface import (
     Condition,
     PlatformError,
@@ -28,24 +25,29 @@
 
 DUTY_TABLE = "duties"
 DUTY_KEY = "failover"
-CHECK_INTERVAL_S = 1.0
-# Share of the check interval that is added per rank, so that VMs check one after another and the
-# first one takes the duty before the next one checks.
-RANK_INTERVAL_SHARE = 0.3
-ORPHANED_TIMEOUT_S = 4.0
+# A store that answers does so within milliseconds; a promotion does not wait for one that hangs.
+CONFIRM_TIMEOUT_S = 0.15
 
 
 class FailoverDuty:
     """Holder of the duty according to the store; the version of its row is the fencing token."""
 
-    def __init__(self, settings: ProxySettings, tables: WatchedTables, key: str = DUTY_KEY) -> None:
+    def __init__(
+        self,
+        settings: ProxySettings,
+        tables: WatchedTables,
+        key: str = DUTY_KEY,
+        on_taken: Callable[[str], None] = lambda _: None,
+    ) -> None:
         self._vm = settings.vm
         self._key = key
+        self._on_taken = on_taken
         self._boot = os.urandom(16).hex()
         self._takes = itertools.count(1)
         self._tables = tables
         self._holder = ""
         self._version = NO_VERSION
+        self._newest_token = NO_VERSION
         self._own_version = NO_VERSION
         self._known = False
         self._held_before_restoration = False
@@ -67,9 +69,12 @@
 
     @property
     def token(self) -> int | None:
-        """Fencing token of this VM, None while it does not hold the duty."""
+        """Fencing token of this VM, None while it does not hold the duty.
+
+        An answer of the store that was delayed may still name this VM after a peer took the duty.
+        """
         held = self._own_version != NO_VERSION and self._own_version == self._version
-        return self._version if held else None
+        return self._version if held and self._version >= self._newest_token else None
 
     @property
     def held_before_restoration(self) -> bool:
@@ -81,8 +86,12 @@
 
     def adopt_holder(self, holder: str, token: int) -> None:
         """Records that a peer holds the duty, if its token is newer than the known one."""
-        if token > self._version:
-            self._version, self._holder = token, holder
+        if token <= max(self._version, self._newest_token):
+            return
+        if self.token is not None:
+            logger().info("duty-lost", key=self._key, holder=holder, fencing_token=token)
+        self._version = self._newest_token = token
+        self._holder = holder
 
     def note_restored(self) -> None:
         """Records that the store was restored, so that its row may be missing or an older one."""
@@ -93,6 +102,18 @@
         """Reads the row; returns whether the store answered."""
         return isinstance(self._read_row(), Success)
 
+    def confirm(self) -> bool:
+        """Reads the row, for a step that nobody but the holder may take.
+
+        Returns whether the store answered in time.
+        """
+        reading = gevent.spawn(self.refresh)
+        reading.join(CONFIRM_TIMEOUT_S)
+        answered = reading.ready() and bool(reading.value)
+        if not answered:
+            logger().info("duty-unconfirmed", key=self._key, fencing_token=self._version)
+        return answered
+
     def take(self, reason: str) -> bool:
         """Takes the duty with a new token, unless the row has changed since it was read."""
         if not self._known and not self.refresh():
@@ -123,8 +144,10 @@
 
     def _note_taken(self, version: int, reason: str) -> None:
         self._version = self._own_version = version
+        self._newest_token = max(self._newest_token, version)
         self._holder = self._vm
         logger().info("duty-taken", key=self._key, fencing_token=version, reason=reason)
+        self._on_taken(self._key)
 
     def _resolve_failed_take(
         self, kind: PlatformFailure, value: dict[str, object], reason: str
@@ -166,15 +189,33 @@
         self._tables = tables
         self._ownership = ownership
         self._duties: dict[str, FailoverDuty] = {}
+        self._taken_handler: Callable[[str], None] = lambda _: None
+
+    def on_taken(self, handler: Callable[[str], None]) -> None:
+        """Sets the handler that gets the key of each duty that this VM has taken."""
+        self._taken_handler = handler
 
     def of(self, group: Group) -> FailoverDuty:
         """Returns the duty by which the primary of a group is replaced."""
         shared = self._ownership.owns_everything(group)
-        key = DUTY_KEY if shared else f"{DUTY_KEY}/{group.name}"
+        return self._by_key(DUTY_KEY if shared else f"{DUTY_KEY}/{group.name}")
+
+    def _by_key(self, key: str) -> FailoverDuty:
         if key not in self._duties:
-            self._duties[key] = FailoverDuty(self._settings, self._tables, key)
+            self._duties[key] = FailoverDuty(
+                self._settings, self._tables, key, lambda taken: self._taken_handler(taken)
+            )
         return self._duties[key]
 
+    def adopt_holder(self, holder: str, held: HeldDuty) -> None:
+        """Records that a peer holds a duty, if it is one of those that this VM may hold."""
+        if held.key in self._duties:
+            self._duties[held.key].adopt_holder(holder, held.fencing_token)
+
+    def report(self) -> tuple[HeldDuty, ...]:
+        """Returns the duties that this VM holds, for its peers."""
+        return tuple(HeldDuty(duty.key, duty.token) for duty in self.held() if duty.token)
+
     def note_restored(self) -> None:
         """Records that the store was restored, so that each duty has to be read again."""
         for duty in self._duties.values():
@@ -183,76 +224,3 @@
     def held(self) -> list[FailoverDuty]:
         """Returns the duties that this VM holds."""
         return [duty for duty in self._duties.values() if duty.token is not None]
-
-
-def vm_rank(key: str, vm: str, peers: Iterable[Peer]) -> int:
-    """Returns the rank of a VM among live peers, 0 for the first; it depends on `key`."""
-    own_score = rendezvous_score(key, vm)
-    return sum(rendezvous_score(key, peer.vm) > own_score for peer in peers if not peer.draining)
-
-
-class DutyKeeper:
-    """Takes each duty while nobody holds it, so that a token exists before it is needed."""
-
-    def __init__(
-        self,
-        settings: ProxySettings,
-        state: ProxyState,
-        peers: Peers,
-        ownership: Ownership,
-        duties: Duties,
-    ) -> None:
-        self._settings = settings
-        self._state = state
-        self._peers = peers
-        self._ownership = ownership
-        self._duties = duties
-        self._orphaned_since: dict[str, float] = {}
-
-    @long_lived("duty")
-    def run(self) -> None:
-        """Checks regularly who holds the duties, until it is killed."""
-        while True:
-            gevent.sleep(CHECK_INTERVAL_S)
-            if not self._state.ready:
-                continue
-            for group in self._group_of_each_duty():
-                delay_s = CHECK_INTERVAL_S * self._rank(group) * RANK_INTERVAL_SHARE
-                gevent.spawn_later(delay_s, self._check, group)
-
-    def note_restored(self) -> None:
-        """Takes the held duties again, because the store may have lost their rows."""
-        self._duties.note_restored()
-        for group in self._group_of_each_duty():
-            if self._duties.of(group).held_before_restoration:
-                gevent.spawn(self._check, group)
-
-    def _group_of_each_duty(self) -> list[Group]:
-        owned = [g for g in self._state.groups.values() if self._ownership.owns(g)]
-        return list({self._duties.of(group).key: group for group in owned}.values())
-
-    def _check(self, group: Group) -> None:
-        duty = self._duties.of(group)
-        if duty.held_before_restoration:
-            duty.take("the store was restored")
-            return
-        if not duty.known and not duty.refresh():
-            return
-        if duty.token is not None:
-            return
-        if duty.holder in ("", self._settings.vm):
-            duty.take("held by an earlier start" if duty.holder else "vacant")
-            return
-        now = self._state.now()
-        live = {peer.vm for peer in self._peers.live_owners(group) if not peer.draining}
-        if duty.holder in live:
-            self._orphaned_since.pop(duty.key, None)
-            return
-        orphaned_since = self._orphaned_since.setdefault(duty.key, now)
-        if now - orphaned_since >= ORPHANED_TIMEOUT_S and self._rank(group) == 0:
-            del self._orphaned_since[duty.key]
-            duty.take("holder is gone")
-
-    def _rank(self, group: Group) -> int:
-        key = self._duties.of(group).key
-        return vm_rank(key, self._settings.vm, self._peers.live_owners(group))
--- a/siskindale/proxy/failover.py
+++ b/siskindale/proxy/failover.py
@@ -2,16 +2,23 @@
 
 import gevent
 
-from siskindale.models.gossip import PromotionNotice
+from siskindale.models.gossip import PreparationNotice, PromotionNotice
 from siskindale.models.vm import ProxySettings
-from siskindale.proxy.decisions import failover, leadership
+from siskindale.proxy.decisions import failover, leadership, succession
 from siskindale.proxy.decisions.failover import LossReports, Reason
-from siskindale.proxy.duty import Duties, vm_rank
+from siskindale.proxy.decisions.replacement import (
+    NOTICE_INTERVAL_S,
+    PROMOTION_TIMEOUT_S,
+    PromotionOrder,
+)
+from siskindale.proxy.duty import Duties
+from siskindale.proxy.duty_keeper import vm_rank
 from siskindale.proxy.ownership import Ownership
 from siskindale.proxy.peers import Peers
 from siskindale.proxy.pool import ConnectionPool
-from siskindale.proxy.promoter import PROMOTION_TIMEOUT_S, Promoter
+from siskindale.proxy.promoter import Promoter
 from siskindale.proxy.state import ProxyState
+from siskindale.proxy.stopped_replicas import StoppedReplicas
 from siskindale.proxy.tables import Group, Target
 from siskindale.proxy.transactions import TransactionRunner
 from siskindale.proxy.watch import GroupWatch
@@ -26,6 +33,7 @@
 PROBE_TIMEOUT_S = 0.25
 # Interval between probes of each target while no primary is known.
 PROBE_ALL_INTERVAL_S = 0.06
+RESUME_INTERVAL_S = 1.0
 # If a tick is this late, the process was stalled, and its observations of losses are discarded.
 STALL_THRESHOLD_S = 0.5
 
@@ -53,9 +61,31 @@
         self._ownership = ownership
         self._duties = duties
         self._transactions = transactions
-        self._promoter = Promoter(settings, pool, peers, duties)
+        self._stopped_replicas = StoppedReplicas(pool, peers, duties)
+        self._promoter = Promoter(settings, pool, peers, duties, self._stopped_replicas)
         self._watches: dict[str, GroupWatch] = {}
         peers.on_promotion(self._note_promotion)
+        peers.on_preparation(self._note_preparation)
+        duties.on_taken(self._note_duty_taken)
+
+    def _note_duty_taken(self, key: str) -> None:
+        """Tells the peers, and counts all replicas as stopped by the holder before this VM."""
+        now = self._pool.now()
+        for group in self._state.groups.values():
+            if self._duties.of(group).key != key:
+                continue
+            watch = self._watch(group)
+            watch.duty_taken_at = now
+            if group.limits.synchronous_replicas:
+                watch.stopped = {target.id for target in group.targets.values()}
+        self._peers.announce()
+
+    def _note_preparation(self, notice: PreparationNotice, holder: str) -> None:
+        """Records that a peer prepares a promotion in a group."""
+        group = self._state.groups.get(notice.group)
+        if group is not None:
+            self._duties.of(group).adopt_holder(holder, notice.fencing_token)
+            self._watch(group).peer_acted_at = self._pool.now()
 
     def _note_promotion(self, notice: PromotionNotice, holder: str) -> None:
         """Records that a peer orders a promotion in a group, and whether it was accepted."""
@@ -63,7 +93,9 @@
         if group is None:
             return
         self._duties.of(group).adopt_holder(holder, notice.fencing_token)
-        self._watch(group).peer_ordered_at = self._pool.now()
+        watch = self._watch(group)
+        watch.peer_acted_at = self._pool.now()
+        watch.order = PromotionOrder(notice.target, notice.fencing_token, watch.peer_acted_at)
         if notice.accepted:
             group.leadership.pending_primary_id = notice.target
             logger().info(
@@ -107,6 +139,7 @@
         self._maintain(watch, now)
         primary = group.primary
         self._update_absence(watch, primary, now)
+        self._note_leader(watch)
         if (
             primary is None
             or group.leadership.lost_since is not None
@@ -158,6 +191,18 @@
         elif watch.absent_since is None:
             watch.absent_since = now
 
+    def _note_leader(self, watch: GroupWatch) -> None:
+        """Forgets which replicas were stopped once another target leads: all of them receive."""
+        leader = watch.group.leadership.primary_id
+        if not leader or leader == watch.led_by:
+            return
+        if watch.led_by:
+            watch.stopped.clear()
+            watch.unresumed.clear()
+        if watch.order is not None and watch.order.target == leader:
+            watch.order = None
+        watch.led_by = leader
+
     def _probe_all(self, watch: GroupWatch, now: float) -> None:
         if now - watch.all_probed_at < PROBE_ALL_INTERVAL_S:
             return
@@ -185,14 +230,17 @@
         )
         if reason is None:
             watch.reason_since = None
+            self._resume_replicas(watch, now)
             return
         watch.reason_since = watch.reason_since or now
+        if watch.preparing and now - watch.noticed_at >= NOTICE_INTERVAL_S:
+            self._promoter.announce_preparation(watch)
         if watch.replacing or group.leadership.pending_primary_id:
             return
         holds_duty = self._duties.of(group).token is not None
         own_rank = vm_rank(group.name, self._settings.vm, self._peers.live_owners(group))
         if not failover.may_order_promotion(
-            holds_duty, own_rank, watch.reason_since, watch.peer_ordered_at, now
+            holds_duty, own_rank, watch.reason_since, watch.peer_acted_at, now
         ):
             return
         watch.replacing = True
@@ -214,5 +262,26 @@
     def _replace(self, watch: GroupWatch, reason: Reason) -> None:
         try:
             self._promoter.promote(watch, reason)
+        finally:
+            watch.replacing = watch.preparing = False
+
+    def _resume_replicas(self, watch: GroupWatch, now: float) -> None:
+        """Lets replicas receive again that stayed stopped although nobody is to be promoted."""
+        group = watch.group
+        holds_duty = self._duties.of(group).token is not None
+        if not (watch.stopped and holds_duty and group.limits.synchronous_replicas):
+            return
+        if watch.replacing or now - watch.resume_tried_at < RESUME_INTERVAL_S:
+            return
+        watch.resume_tried_at = now
+        watch.replacing = True
+        gevent.spawn(self._run_resume, watch)
+
+    def _run_resume(self, watch: GroupWatch) -> None:
+        group = watch.group
+        replicas = {target.id for target in succession.replicas(group)}
+        watch.stopped &= replicas
+        try:
+            self._stopped_replicas.resume(watch, replicas)
         finally:
             watch.replacing = False
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -14,6 +14,7 @@
     Gossip,
     Loss,
     OwnerLoad,
+    PreparationNotice,
     PromotionNotice,
     SampleAnswer,
     SampleRequest,
@@ -27,6 +28,7 @@
 from siskindale.proxy.admission import Admission
 from siskindale.proxy.decisions.balancing import ReportedLoad
 from siskindale.proxy.decisions.connections import is_starved
+from siskindale.proxy.duty import Duties
 from siskindale.proxy.members import Membership
 from siskindale.proxy.ownership import Ownership
 from siskindale.proxy.state import ProxyState
@@ -78,9 +80,11 @@
         ownership: Ownership,
         yield_connections: Callable[[Group, Target], None],
         admission: Admission,
+        duties: Duties,
     ) -> None:
         self._settings = settings
         self._clock = clock
+        self._duties = duties
         self._mailbox: Mailbox | None = None
         self._state = state
         self._membership = membership
@@ -88,6 +92,7 @@
         self._yield_connections = yield_connections
         self._admission = admission
         self._promotion_handler: Callable[[PromotionNotice, str], None] | None = None
+        self._preparation_handler: Callable[[PreparationNotice, str], None] | None = None
         self._peers: dict[str, Peer] = {}
         self._seeds = {s.inbox_url for s in settings.seeds if s != settings.peers}
         self._state_requested_at = 0.0
@@ -103,6 +108,7 @@
         mailbox.set_handler(StateRequest, self._on_state_request)
         mailbox.set_handler(StateAnswer, self._on_state_answer)
         mailbox.set_handler(PromotionNotice, self._on_promotion_notice)
+        mailbox.set_handler(PreparationNotice, self._on_preparation_notice)
         mailbox.set_handler(TargetsNotice, self._on_targets_notice)
         mailbox.set_handler(SampleRequest, self._on_sample_request)
         mailbox.set_handler(SampleAnswer, self._on_sample_answer)
@@ -152,12 +158,21 @@
         """Sets the handler for notices of promotions; it gets the notice and the sender's name."""
         self._promotion_handler = handler
 
+    def on_preparation(self, handler: Callable[[PreparationNotice, str], None]) -> None:
+        """Sets the handler for notices of preparations; it gets the notice and the sender."""
+        self._preparation_handler = handler
+
+    @property
+    def isolated(self) -> bool:
+        """Whether this VM knows peers and hears none of them."""
+        return bool(self._peers) and not self.live()
+
     def announce_soon(self) -> None:
         """Announces a newer catalog to peers whose own watch of the store may have missed it."""
         gevent.spawn_later(ANNOUNCE_DELAY_S, self.announce)
 
-    def notify_promotion(self, notice: PromotionNotice) -> None:
-        """Notifies all peers that a promotion is ordered."""
+    def notify_promotion(self, notice: PromotionNotice | PreparationNotice) -> None:
+        """Notifies all peers that a promotion is prepared or ordered."""
         for peer in self.live():
             self._send(peer.url, notice)
 
@@ -310,6 +325,7 @@
             wants_answer=wants_answer,
             demands=self._admission.report(),
             loads=self._owner_loads(),
+            duties=self._duties.report(),
         )
 
     def _send(
@@ -342,6 +358,8 @@
         self._yield_to_starved(gossip.starved)
         self._admission.note_report(gossip.demands)
         self._note_loads(gossip)
+        for held in gossip.duties:
+            self._duties.adopt_holder(gossip.vm, held)
         if gossip.wants_answer:
             self._send(url, self._gossip(self._losses(), wants_answer=False))
         if gossip.catalog_version > self._state.catalog_version or not self._state.ready:
@@ -367,3 +385,7 @@
     def _on_promotion_notice(self, delivery: Delivery) -> None:
         if self._promotion_handler is not None:
             self._promotion_handler(delivery.body, delivery.envelope.sender)
+
+    def _on_preparation_notice(self, delivery: Delivery) -> None:
+        if self._preparation_handler is not None:
+            self._preparation_handler(delivery.body, delivery.envelope.sender)
--- a/siskindale/proxy/program.py
+++ b/siskindale/proxy/program.py
@@ -24,7 +24,8 @@
 from siskindale.proxy import metrics
 from siskindale.proxy.admission import Admission
 from siskindale.proxy.directory import Directory
-from siskindale.proxy.duty import Duties, DutyKeeper
+from siskindale.proxy.duty import Duties
+from siskindale.proxy.duty_keeper import DutyKeeper
 from siskindale.proxy.failover import Failover
 from siskindale.proxy.followers import CatalogFollower, TargetsFollower
 from siskindale.proxy.listening import AddressUnavailableError
@@ -90,6 +91,9 @@
         self._state = ProxyState(settings, clock, groups, self._pool)
         self._state.needs_targets_if(self._owns_any)
         self._admission = Admission(settings, clock, self._state)
+        store = PlatformStore(settings.store)
+        store.on_restored(self._note_restored)
+        duties = Duties(settings, store, ownership)
         self._peers = Peers(
             settings,
             clock,
@@ -98,11 +102,9 @@
             ownership,
             self._pool.yield_connections,
             self._admission,
+            duties,
         )
-        store = PlatformStore(settings.store)
-        store.on_restored(self._note_restored)
         self._directory = Directory(store, self._membership, Random(), clock)
-        duties = Duties(settings, store, ownership)
         self._duty = DutyKeeper(settings, self._state, self._peers, ownership, duties)
         self._catalog = CatalogFollower(settings, store, self._state, self._peers.announce_soon)
         self._targets = TargetsFollower(
--- a/siskindale/proxy/promoter.py
+++ b/siskindale/proxy/promoter.py
@@ -1,43 +1,47 @@
 """Orders promotions as the holder of the failover duty."""
 
+import attrs
 import gevent
 
-from siskindale.models.gossip import PromotionNotice
+from siskindale.models.gossip import PreparationNotice, PromotionNotice
 from siskindale.models.vm import ProxySettings
 from siskindale.platform.promotion import PromotionClient, PromotionOutcome
 from siskindale.proxy import metrics
-from siskindale.proxy.decisions import failover, succession
+from siskindale.proxy.decisions import failover, replacement, succession
 from siskindale.proxy.decisions.failover import Reason, UnansweredPromotion
+from siskindale.proxy.decisions.replacement import PROMOTION_TIMEOUT_S, PromotionOrder
 from siskindale.proxy.decisions.succession import ReplicaLog
 from siskindale.proxy.duty import Duties
 from siskindale.proxy.peers import Peers
 from siskindale.proxy.pool import ConnectionPool
-from siskindale.proxy.positions import query_logs, resume_receiving, stop_receiving
+from siskindale.proxy.positions import query_logs
+from siskindale.proxy.stopped_replicas import StoppedReplicas
 from siskindale.proxy.tables import Group, Target
 from siskindale.proxy.watch import GroupWatch
 from siskindale.runtime.logs import logger
 
-# A promotion takes about a second; after this time another target is tried.
-PROMOTION_TIMEOUT_S = 2.2
 LEADERSHIP_CHECK_INTERVAL_S = 0.06
 RETRY_S = 0.1
 MAX_PROMOTION_CALLS = 10
 # A single refusal may also mean that the chosen target does not run.
 MAX_REFUSALS = 2
-# While others are stopped, a successor catches up with them within a few round trips.
-CATCH_UP_ATTEMPTS = 5
-CATCH_UP_PAUSE_S = 0.03
 
 
 class Promoter:
     """Chooses successors, orders their promotion and waits until they lead."""
 
     def __init__(
-        self, settings: ProxySettings, pool: ConnectionPool, peers: Peers, duties: Duties
+        self,
+        settings: ProxySettings,
+        pool: ConnectionPool,
+        peers: Peers,
+        duties: Duties,
+        stopped_replicas: StoppedReplicas,
     ) -> None:
         self._pool = pool
         self._peers = peers
         self._duties = duties
+        self._stopped_replicas = stopped_replicas
         self._promotions = PromotionClient(settings.promotions, settings.vm)
 
     def promote(self, watch: GroupWatch, reason: Reason) -> None:
@@ -65,48 +69,58 @@
         if not successors:
             gevent.sleep(RETRY_S)
             return
-        successor = successors[0]
-        if not self._secure_acknowledged(group, successor, logs):
+        watch.preparing = True
+        self.announce_preparation(watch)
+        if not self._promote(watch, successors[0], logs, started_at):
             gevent.sleep(RETRY_S)
-            return
-        if self._rule_out_unanswered_call(watch, successor) and self._order_until_answered(
-            watch, successor
-        ):
-            self._await_leadership(group, successor, started_at)
-        elif group.limits.synchronous_replicas and watch.unanswered is None:
-            resume_receiving(self._pool, group, succession.other_replicas(group, successor))
 
-    def _secure_acknowledged(
-        self, group: Group, successor: Target, logs: dict[str, ReplicaLog]
+    def announce_preparation(self, watch: GroupWatch) -> None:
+        """Tells the peers that this VM prepares a promotion, unless it has had its time."""
+        now = self._pool.now()
+        token = self._duties.of(watch.group).token
+        claims = replacement.claims_group(watch.reason_since or now, watch.duty_taken_at, now)
+        if token is not None and claims:
+            watch.noticed_at = now
+            self._peers.notify_promotion(PreparationNotice(watch.group.name, token))
+
+    def _promote(
+        self,
+        watch: GroupWatch,
+        successor: Target,
+        logs: dict[str, ReplicaLog],
+        started_at: float,
     ) -> bool:
-        """Makes sure that a successor has all commits that are acknowledged until it leads.
+        """Promotes a target; returns whether the platform will do so."""
+        group = watch.group
+        if group.limits.synchronous_replicas and not self._may_order(watch, successor, logs):
+            return False
+        if not self._rule_out_unanswered_call(watch, successor):
+            return False
+        if self._order_until_answered(watch, successor):
+            self._await_leadership(group, successor, started_at)
+            return True
+        if group.limits.synchronous_replicas:
+            self._stopped_replicas.resume(watch, set(logs))
+        return False
 
-        In a group with synchronous replicas it stops the other replicas from receiving. From then
-        on no commit is acknowledged that the successor has not received.
+    def _may_order(self, watch: GroupWatch, successor: Target, logs: dict[str, ReplicaLog]) -> bool:
+        """Returns whether the promotion of a target loses no acknowledged commit.
+
+        That other replicas are stopped is of no use if another VM lets them receive again, or
+        promotes another target: so this VM must hold the duty, and no such call may be on its way.
         """
-        if not group.limits.synchronous_replicas:
+        if not self._stopped_replicas.secure_acknowledged(watch, successor, logs):
+            return False
+        if not self._stopped_replicas.confirm_duty(watch):
+            logger().warning("promotion-left", group=watch.group.name, reason="duty is not held")
+            return False
+        now = self._pool.now()
+        if not replacement.may_override(watch.order, successor, now):
+            logger().info("promotion-left", group=watch.group.name, reason="another is on its way")
+            return False
+        if not replacement.must_look_for_leader(watch.order, successor, now):
             return True
-        others = succession.other_replicas(group, successor)
-        term = 1 + max(log.newest_term for log in logs.values())
-        logs.update(stop_receiving(self._pool, group, others, term))
-        for _ in range(CATCH_UP_ATTEMPTS):
-            if not succession.may_lack_acknowledged(group, successor, logs):
-                return True
-            gevent.sleep(CATCH_UP_PAUSE_S)
-            logs.update(query_logs(self._pool, group, [successor]))
-        logger().warning(
-            "successor-unsafe",
-            group=group.name,
-            target=successor.id,
-            synchronous_replicas=group.limits.synchronous_replicas,
-            logs=",".join(
-                f"{name}:{log.received}:{'exact' if log.exact else 'at least'}"
-                for name, log in logs.items()
-            ),
-            replicas=1 + len(others),
-        )
-        resume_receiving(self._pool, group, others)
-        return False
+        return self._stopped_replicas.no_other_leads(watch, successor)
 
     def _order_until_answered(self, watch: GroupWatch, successor: Target) -> bool:
         """Repeats an unanswered call; returns whether the target will become the primary.
@@ -115,27 +129,41 @@
         the token, because a newer one would make the platform refuse the earlier calls.
         """
         group = watch.group
+        earlier_order = watch.order
         for attempt in range(MAX_PROMOTION_CALLS):
             outcome = self._order_promotion(
-                group, successor, failover.promotion_call_timeout(attempt)
+                watch, successor, failover.promotion_call_timeout(attempt)
             )
             if outcome is PromotionOutcome.ACCEPTED or group.leadership.primary_id == successor.id:
                 return True
             if outcome is PromotionOutcome.REJECTED:
                 self._count_refusal(watch)
-                self._duties.of(group).refresh()
+                self._note_rejected(watch, earlier_order)
                 successor.avoid_until = self._pool.now() + RETRY_S
                 return False
             if outcome is PromotionOutcome.UNKNOWN:
                 watch.unanswered = UnansweredPromotion(
                     successor.id, self._duties.of(group).token or 0
                 )
+                earlier_order = watch.order
             else:
+                watch.order = earlier_order
                 gevent.sleep(RETRY_S)
             if successor.leaving or successor.connection_refused:
                 return False
         return False
 
+    def _note_rejected(self, watch: GroupWatch, earlier_order: PromotionOrder | None) -> None:
+        """Records a refused call: another VM may have made a newer one, unless the store denies it.
+
+        While this VM holds the duty, the chosen target does not run.
+        """
+        duty = self._duties.of(watch.group)
+        if duty.refresh() and duty.token is not None:
+            watch.order = earlier_order
+        elif watch.order is not None:
+            watch.order = attrs.evolve(watch.order, target="", ordered_at=self._pool.now())
+
     def _count_refusal(self, watch: GroupWatch) -> None:
         token = self._duties.of(watch.group).token or 0
         watch.refusals = watch.refusals + 1 if watch.refused_token == token else 1
@@ -157,11 +185,13 @@
         return duty.take("earlier call without an answer")
 
     def _order_promotion(
-        self, group: Group, successor: Target, timeout_s: float
+        self, watch: GroupWatch, successor: Target, timeout_s: float
     ) -> PromotionOutcome:
+        group = watch.group
         token = self._duties.of(group).token
         if token is None:
             return PromotionOutcome.REJECTED
+        watch.order = PromotionOrder(successor.id, token, self._pool.now())
         self._peers.notify_promotion(PromotionNotice(group.name, successor.id, token, False))
         called_at = self._pool.now()
         outcome = self._promotions.promote(group.name, successor.id, token, timeout_s)
--- a/standins/deployment/group.py
+++ b/standins/deployment/group.py
@@ -42,6 +42,7 @@
     primary: bool
     max_connections: int
     stopped: bool = False
+    held_term: int = 0
     log: list[LogEntry] = attrs.field(factory=list)
     faults: TargetStandinFaults = attrs.field(factory=TargetStandinFaults)
     connections: set[socket.socket] = attrs.field(factory=set)
@@ -247,21 +248,30 @@
 
     def pause(self, _: bytes, text: bytes) -> bytes:
         """Stops a replica from receiving until it is resumed or a target is promoted."""
-        if int(text.split(b" ")[1]) <= self._target.group.term:
+        term = int(text.split(b" ")[1])
+        if term <= max(self._target.group.term, self._target.held_term):
             return b"ERR MALFORMED -\r\n"
-        self._target.stopped = True
+        self._target.stopped, self._target.held_term = True, term
+        self._target.group.controls.append((self._target.id, "PAUSE"))
         return self.status(b"", b"")
 
     def resume(self, _: bytes, __: bytes) -> bytes:
         """Lets a stopped replica receive again."""
         self._target.stopped = False
+        self._target.group.controls.append((self._target.id, "RESUME"))
         return self.status(b"", b"")
 
     def status(self, _: bytes, __: bytes) -> bytes:
         """Returns the status row."""
         role = b"primary" if self._target.primary else b"replica"
         term = self._target.group.term
-        return b"ROW %b %d %b 0 0 0 1\r\nDONE -\r\n" % (role, term, self._target.position)
+        held_term = self._target.held_term
+        return b"ROW %b %d %b %d 0 0 1\r\nDONE -\r\n" % (
+            role,
+            term,
+            self._target.position,
+            held_term,
+        )
 
     def _record(self, request_id: bytes, text: bytes, shape: bytes) -> None:
         values = frozenset(self._values.items())
@@ -290,7 +300,8 @@
     """Targets with copies of one database; commits reach replicas after `lag_s`.
 
     A commit is acknowledged once `synchronous_replicas` replicas have received it.
-    `before_promotion` is called with the target that is about to lead.
+    `before_promotion` is called with the target that is about to lead. `controls` are the stops and
+    resumptions that targets carried out, and the promotions, by the id of the target.
     """
 
     name: str
@@ -299,6 +310,7 @@
     term: int = 1
     targets: dict[str, TargetStandin] = attrs.field(factory=dict)
     executions: list[Execution] = attrs.field(factory=list)
+    controls: list[tuple[str, str]] = attrs.field(factory=list)
     before_promotion: Callable[[TargetStandin], None] = lambda _: None
 
     def add(self, target_id: str, address: Address, primary: bool, max_connections: int) -> None:
@@ -336,6 +348,7 @@
             return False
         if not successor.primary:
             self.before_promotion(successor)
+            self.controls.append((target_id, "promote"))
             self.term += 1
             for target in self.targets.values():
                 target.primary = target is successor
--- a/tests/proxy/test_succession.py
+++ b/tests/proxy/test_succession.py
@@ -9,6 +9,7 @@
 from siskindale.models.group import LogPosition
 from siskindale.proxy.decisions.succession import (
     ReplicaLog,
+    enough_answered,
     may_lack_acknowledged,
     rank_successors,
 )
@@ -44,6 +45,18 @@
     assert [t.id for t in rank_successors(group, {"b": log(9), "c": log(9)})] == ["c", "b"]
 
 
+@pytest.mark.parametrize(
+    ("synchronous", "silent", "enough"), [(1, 0, True), (1, 1, False), (2, 1, True)]
+)
+def test_replicas_are_not_stopped_while_too_many_are_silent(
+    group: Group, synchronous: int, silent: int, enough: bool
+) -> None:
+    """Guards against commits that are held up for a promotion that is not possible yet."""
+    group.limits = GroupLimits(16, synchronous_replicas=synchronous)
+    logs = {"c": log(10), **({} if silent else {"b": log(9)})}
+    assert enough_answered(group, group.targets["c"], logs) is enough
+
+
 @pytest.mark.parametrize(
     ("synchronous", "other", "unsafe"),
     [
@@ -142,3 +155,37 @@
     eventually(wrote_to_successor, "another target leads")
     assert {data for *_, data in group.primary.log} >= set(acknowledged)
     assert not any(target.stopped for target in group.targets.values())
+
+
+def test_one_vm_at_a_time_stops_replicas_and_none_undoes_the_stop(
+    synchronous: Deployment,
+) -> None:
+    """Guards against the loss of acknowledged commits while several VMs replace one primary.
+
+    Seen where a replica was cut off from all VMs: each of them took the duty, stopped replicas, and
+    let them receive again when it gave up, although another VM relied on the stop.
+    """
+    group = synchronous.group
+    first = synchronous.start_proxy("vm1")
+    seeds = [synchronous.peers_address("vm1")]
+    others = [synchronous.start_proxy(name, seeds=seeds) for name in ("vm2", "vm3")]
+    writer = first.client()
+    eventually(lambda: writer.query("WRITE item 0").error is None, "the group has a primary")
+    eventually(lambda: all("peer-found" in p.log for p in (first, *others)), "the VMs know peers")
+    group.targets["t2"].faults.drop_requests = group.targets["t2"].faults.deaf = True
+    synchronous.register(group.primary, state="draining")
+    eventually(
+        lambda: any("successor-unsafe" in proxy.log for proxy in (first, *others)), "one VM tries"
+    )
+    row_before = synchronous.platform.row("duties", "failover")
+    gevent.sleep(1.6)
+    row_after = synchronous.platform.row("duties", "failover")
+    assert row_before is not None
+    assert row_after == row_before
+    assert group.controls == []
+    group.targets["t2"].faults.drop_requests = group.targets["t2"].faults.deaf = False
+    eventually(lambda: any(verb == "promote" for _, verb in group.controls), "a target leads")
+    assert [verb for _, verb in group.controls] == ["PAUSE"] * (len(group.controls) - 1) + [
+        "promote"
+    ]
+    assert len({call.holder for call in synchronous.platform.promotions}) == 1
