Count session values on a connection when the target has confirmed them

Cause: preparation_steps recorded the steps as done before they were sent. In a transaction only the last reply of the flight was looked at, and the rollback that followed made the connection look sound, so it went back to the pool with a record of what its target had refused.

Change: Preparation reads the reply to each step and records the step then. After a refused step, or NOSTMT for a name that counts as prepared, the values of the connection are uncertain: it serves no other statement and is closed. A statement whose preparation was refused gets that error; a commit keeps its own reply, because a promise may not come from another message. The same holds outside transactions and at the start of a transaction, where the state of the connection stood for it and could be overwritten.

The property test of the steps recorded what they returned; it now records what a model of the target confirms, which refuses flights from any step on, and asks the same of each flight that is not refused.

--- a/siskindale/proxy/connection.py
+++ b/siskindale/proxy/connection.py
@@ -11,7 +11,7 @@
 
 from siskindale.context import SuspendAwareClock
 from siskindale.models.group import LogPosition
-from siskindale.models.statements import Reply, SessionState
+from siskindale.models.statements import ErrorCode, Reply, SessionState
 from siskindale.platform import wire
 from siskindale.proxy.decisions.session_state import (
     ConnectionValues,
@@ -100,8 +100,10 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether a statement may be sent: open, no reply outstanding and no input unread."""
-        if self.closed or self._reader.has_unread_bytes or self.outstanding_replies:
+        """Whether a statement may be sent: open, with known values, no reply due or unread."""
+        if self.closed or self.values.uncertain:
+            return False
+        if self._reader.has_unread_bytes or self.outstanding_replies:
             return False
         return peek_socket(self._socket) is PeekResult.NOTHING
 
@@ -156,6 +158,9 @@
             reply = wire.read_reply(self._reader)
         self.outstanding_replies -= 1
         self.state = reply.state
+        if reply.error is ErrorCode.UNKNOWN_PREPARED:
+            # Only names that count as prepared are executed.
+            self.values.uncertain = True
         replies_due = self.target.in_flight > 1 or self.outstanding_replies
         self.target.silent_since = now() if replies_due else None
         return reply
--- a/siskindale/proxy/decisions/session_state.py
+++ b/siskindale/proxy/decisions/session_state.py
@@ -56,10 +56,25 @@
 
 @attrs.define
 class ConnectionValues:
-    """Values that are set on a connection to a target, and prepared statements by shared names."""
+    """Values that are set on a connection to a target, and prepared statements by shared names.
+
+    Only what the target has confirmed is recorded. `uncertain` after a reply that contradicts the
+    record, or that leaves open what is set; the connection must then serve no other statement.
+    """
 
     values: dict[bytes, bytes] = attrs.field(factory=dict)
     prepared: set[bytes] = attrs.field(factory=set)
+    uncertain: bool = False
+
+    def record(self, step: "Reset | SetValue | Prepare") -> None:
+        """Records a step that the target has confirmed."""
+        if isinstance(step, Reset):
+            self.values.clear()
+            self.prepared.clear()
+        elif isinstance(step, SetValue):
+            self.values[step.name] = step.value
+        else:
+            self.prepared.add(step.name)
 
 
 @attrs.frozen
@@ -98,21 +113,18 @@
 ) -> list[Reset | SetValue | Prepare]:
     """Returns the steps that bring a connection to the state of a session.
 
-    Records the steps as done. Only a reset can clear values that the session does not have.
+    Only a reset can clear values that the session does not have.
     """
     steps: list[Reset | SetValue | Prepare] = []
     if connection.values.keys() - session.values.keys():
         steps.append(Reset())
-        connection.values.clear()
-        connection.prepared.clear()
+        connection = ConnectionValues()
     steps += _missing_values(connection, session)
-    connection.values.update(session.values)
     if statement is not None and statement.verb is Verb.EXECUTE:
         prepared = session.prepared[statement.name]
         name = shared_name(prepared)
         if name not in connection.prepared:
             steps.append(Prepare(name, prepared))
-            connection.prepared.add(name)
     return steps
 
 
--- a/siskindale/proxy/routing.py
+++ b/siskindale/proxy/routing.py
@@ -8,9 +8,9 @@
 from siskindale.models.group import LogPosition
 from siskindale.models.statements import Access, ErrorCode, Statement, Verb
 from siskindale.platform import wire
-from siskindale.proxy.connection import ReplyTimeoutError, TargetConnection, encode_step
+from siskindale.proxy.connection import ReplyTimeoutError, TargetConnection
 from siskindale.proxy.decisions import lag, leadership
-from siskindale.proxy.decisions.session_state import SessionValues, preparation_steps, shared_name
+from siskindale.proxy.decisions.session_state import SessionValues, shared_name
 from siskindale.proxy.pool import ConnectionPool
 from siskindale.proxy.tables import Group, Need
 from siskindale.runtime.logs import logger
@@ -27,13 +27,6 @@
 EXCHANGE_ERRORS = (OSError, ReplyTimeoutError, wire.ProtocolError)
 
 
-def preparation_messages(
-    connection: TargetConnection, values: SessionValues, statement: Statement | None
-) -> list[bytes]:
-    """Returns the messages that bring a connection to the state of a session before a statement."""
-    return [encode_step(step) for step in preparation_steps(connection.values, values, statement)]
-
-
 def prepared_name(values: SessionValues, statement: Statement) -> bytes:
     """Returns the shared name of the prepared statement to execute, empty for other statements."""
     if statement.verb is Verb.EXECUTE:
--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -15,11 +15,11 @@
 from siskindale.proxy.decisions.outcomes import Progress, StatementKind, Step
 from siskindale.proxy.decisions.session_state import SessionValues
 from siskindale.proxy.pool import ConnectionPool
+from siskindale.proxy.preparation import Preparation
 from siskindale.proxy.routing import (
     EXCHANGE_ERRORS,
     RETRY_PAUSE_S,
     Router,
-    preparation_messages,
     prepared_name,
 )
 from siskindale.proxy.tables import Group, Need
@@ -200,35 +200,28 @@
         message = wire.encode_statement(
             statement, prepared_name(values, statement), need.min_position
         )
-        preparation = preparation_messages(connection, values, statement)
+        preparation = Preparation(connection, values, statement)
+        messages = [*preparation.messages, message]
         if prove_primary:
-            preparation.append(wire.encode_begin(read_only=False))
-        connection.send(
-            [*preparation, message, *([wire.encode_rollback()] if prove_primary else [])]
-        )
+            messages[-1:] = [wire.encode_begin(read_only=False), message, wire.encode_rollback()]
+        connection.send(messages)
         reply_deadline = self._reply_deadline(execution, connection, started_at)
-        replies = [
-            connection.receive(reply_deadline - self._pool.now()) for _ in [*preparation, message]
-        ]
+
+        def remaining_s() -> float:
+            return reply_deadline - self._pool.now()
+
+        failed_reply = preparation.receive(remaining_s)
+        if prove_primary:
+            begun = connection.receive(remaining_s())
+            failed_reply = failed_reply or (begun if begun.error is not None else None)
+        reply = connection.receive(remaining_s())
         if prove_primary:
-            connection.receive(reply_deadline - self._pool.now())
-        failed_reply = next((r for r in replies[:-1] if r.error is not None), None)
+            connection.receive(remaining_s())
         if failed_reply is None:
-            return replies[-1]
-        if execution.access is Access.WRITE and replies[-1].error is None:
+            return reply
+        if execution.access is Access.WRITE and reply.error is None:
             # The write ran without the values of its session and must not be repeated.
             return Reply(error=ErrorCode.OUTCOME_UNKNOWN, detail=b"preparation failed")
-        return self._preparation_error(connection, failed_reply, prove_primary)
-
-    def _preparation_error(
-        self, connection: TargetConnection, failed_reply: Reply, prove_primary: bool
-    ) -> Reply:
-        """Returns the error of a failed preparation; values of the connection are then unknown."""
-        if not (prove_primary and failed_reply.error is ErrorCode.READ_ONLY):
-            logger().warning(
-                "preparation-failed", target=connection.target.id, reason=str(failed_reply.error)
-            )
-            connection.state = SessionState.FAILED
         return Reply(error=failed_reply.error, detail=failed_reply.detail)
 
     def _reply_deadline(
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -26,11 +26,11 @@
 from siskindale.proxy.decisions.outcomes import Progress, StatementKind
 from siskindale.proxy.decisions.session_state import SessionValues
 from siskindale.proxy.pool import ConnectionPool
+from siskindale.proxy.preparation import Preparation
 from siskindale.proxy.routing import (
     EXCHANGE_ERRORS,
     RETRY_PAUSE_S,
     Router,
-    preparation_messages,
     prepared_name,
 )
 from siskindale.proxy.tables import Group, Need
@@ -239,12 +239,13 @@
         """
         started_at = self._pool.now()
         prove_primary = need.min_position is None
-        messages = preparation_messages(connection, values, None)
-        messages.append(wire.encode_begin(not prove_primary, need.min_position))
+        preparation = Preparation(connection, values, None)
+        begin = wire.encode_begin(not prove_primary, need.min_position)
+        reply_deadline = min(need.deadline, started_at + TRANSACTION_REPLY_TIMEOUT_S)
         try:
-            connection.send(messages)
-            reply_deadline = min(need.deadline, started_at + TRANSACTION_REPLY_TIMEOUT_S)
-            replies = [connection.receive(reply_deadline - self._pool.now()) for _ in messages]
+            connection.send([*preparation.messages, begin])
+            failed_reply = preparation.receive(lambda: reply_deadline - self._pool.now())
+            reply = connection.receive(reply_deadline - self._pool.now())
         except EXCHANGE_ERRORS as error:
             logger().info(
                 "begin-failed",
@@ -257,21 +258,19 @@
         except BaseException:
             self._pool.close_in_use(transaction.group, connection)
             raise
-        failed_reply = next((r for r in replies if r.error is not None), None)
-        if failed_reply is None:
+        failure = reply.error if failed_reply is None else failed_reply.error
+        if failure is None:
             if prove_primary:
                 self._pool.note_primary(
-                    transaction.group, connection.target, replies[-1].position, started_at
+                    transaction.group, connection.target, reply.position, started_at
                 )
             return None
-        if failed_reply is not replies[-1]:
-            connection.state = SessionState.FAILED
-        elif failed_reply.error is ErrorCode.LAGGING:
+        if failure is ErrorCode.LAGGING:
             self._router.note_lagging(
-                transaction.group, connection, need.min_position, failed_reply.position
+                transaction.group, connection, need.min_position, reply.position
             )
         self._release_after_failed_begin(transaction.group, connection)
-        return failed_reply.error
+        return failure
 
     def _release_after_failed_begin(self, group: Group, connection: TargetConnection) -> None:
         if connection.state is SessionState.IDLE:
@@ -306,19 +305,22 @@
     ) -> Reply:
         """Sends a statement with the messages that must precede it, and returns its reply."""
         started_at = self._pool.now()
-        messages = preparation_messages(connection, values, statement)
-        messages.append(wire.encode_statement(statement, prepared_name(values, statement)))
+        preparation = Preparation(connection, values, statement)
+        message = wire.encode_statement(statement, prepared_name(values, statement))
+        reply_deadline = started_at + self._reply_timeout_s(transaction.route, work)
         try:
-            connection.send(messages)
-            reply_deadline = started_at + self._reply_timeout_s(transaction.route, work)
-            replies = [connection.receive(reply_deadline - self._pool.now()) for _ in messages]
+            connection.send([*preparation.messages, message])
+            failed_reply = preparation.receive(lambda: reply_deadline - self._pool.now())
+            reply = connection.receive(reply_deadline - self._pool.now())
         except EXCHANGE_ERRORS as error:
             return self._handle_broken_connection(transaction, statement, work, error, started_at)
         except BaseException:
             transaction.connection = None
             self._pool.close_in_use(transaction.group, connection)
             raise
-        reply = replies[-1]
+        if failed_reply is not None and statement.verb is not Verb.COMMIT:
+            # The statement failed because of it, or ran without the values of its session.
+            reply = attrs.evolve(failed_reply, position=reply.position, state=reply.state)
         reply.target = connection.target.id
         if reply.error is None:
             now = self._pool.now()
--- a/tests/proxy/test_session_state.py
+++ b/tests/proxy/test_session_state.py
@@ -35,17 +35,21 @@
 ) -> None:
     """Guards against running with the values or prepared statements of an earlier session.
 
-    The steps are applied to a model of the target. It must then have exactly the session's values,
-    and the shared name must refer to the session's statement.
+    The steps are applied to a model of the target, which refuses some flights from one of their
+    steps on. If it refuses none, it must then have exactly the session's values, and the shared
+    name must refer to the session's statement.
     """
     connection = ConnectionValues()
     values: dict[bytes, bytes] = {}
     prepared: dict[bytes, PreparedStatement] = {}
     for session_values, statements in sessions:
         name = data.draw(st.sampled_from(sorted(statements)))
-        for step in preparation_steps(
+        steps = preparation_steps(
             connection, SessionValues(session_values, statements), execute_statement(name)
-        ):
+        )
+        confirmed = data.draw(st.integers(0, len(steps)) | st.just(len(steps)))
+        for step in steps[:confirmed]:
+            connection.record(step)
             if isinstance(step, Reset):
                 values.clear()
                 prepared.clear()
@@ -53,6 +57,8 @@
                 values[step.name] = step.value
             else:
                 prepared[step.name] = step.prepared
+        if confirmed < len(steps):
+            continue
         assert values == session_values
         assert prepared[shared_name(statements[name])] == statements[name]
 
@@ -64,6 +70,8 @@
     first = preparation_steps(
         connection, SessionValues({}, {b"a": prepared}), execute_statement(b"a")
     )
+    for step in first:
+        connection.record(step)
     second = preparation_steps(
         connection, SessionValues({}, {b"b": prepared}), execute_statement(b"b")
     )
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -109,6 +109,33 @@
         assert other.query("READ item").rows == ()
 
 
+def test_a_value_refused_with_a_lost_transaction_is_set_before_the_next_statement(
+    deployment: Deployment,
+) -> None:
+    """Guards against a record of session values that counts what was sent, not what was confirmed.
+
+    Seen after a transaction whose target had lost the lead: it refused the value and the prepared
+    statement, its connection went back to the pool, and later statements ran on it without them.
+    """
+    proxy = deployment.start_proxy()
+    setting, preparing = proxy.client("own"), proxy.client("own")
+    assert preparing.query("PREPARE s READ shape").error is None
+    for client in (setting, preparing):
+        assert client.query("BEGIN").error is None
+        assert client.query("READ item").error is None
+    deployment.group.promote("t1")
+    assert setting.query("SET tz rodopi").error is None
+    deployment.group.executions.clear()
+    for client, text in ((setting, "READ item"), (preparing, "EXEC s item")):
+        assert client.query(text).error is not None
+        assert client.query("ROLLBACK").error is None
+        for _ in range(20):
+            assert client.query(text).error is None
+    values = [(e.shape, tuple(e.values)) for e in deployment.group.executions]
+    assert values == [(b"", ((b"tz", b"rodopi"),))] * 20 + [(b"shape", ())] * 20
+    assert "unknown-prepared" not in proxy.log
+
+
 def test_prepared_names_and_values_of_sessions_are_isolated(deployment: Deployment) -> None:
     """Guards against using another client's prepared statement or value on a shared connection."""
     proxy = deployment.start_proxy()
