Refuse a statement at its deadline, whatever a target answers

Cause: the loops of StatementRunner and of the start of a transaction look at the deadline only when the pool has no connection. A free one is handed out at any time, so a target that answers at once keeps them going.

Change: after an attempt that is to be repeated, both loops refuse the statement if its deadline has passed. Only attempts that left nothing behind are repeated, so the refusal is true.

Evidence: two tests over all codes, for reads, writes and starts of transactions.

--- a/siskindale/proxy/single.py
+++ b/siskindale/proxy/single.py
@@ -110,6 +110,8 @@
                 outcome.attempts = execution.attempts
                 return outcome
             last_error = self._prepare_retry(execution, connection, outcome) or last_error
+            if self._pool.now() >= execution.deadline:
+                return self._refuse_overloaded(execution, last_error)
 
     def _build_need(self, execution: StatementExecution) -> Need:
         minimum = None
--- a/siskindale/proxy/transactions.py
+++ b/siskindale/proxy/transactions.py
@@ -197,15 +197,7 @@
                 if self._pool.now() < deadline and not self._pool.interrupted:
                     self._router.reset_exhausted_exclusions(transaction.group, excluded)
                     continue
-                logger().info(
-                    "transaction-refused",
-                    request=transaction.begin_request_id.decode(errors="replace"),
-                    group=transaction.group.name,
-                    workspace=transaction.workspace,
-                    primary=transaction.group.leadership.primary_id,
-                    waiting=len(transaction.group.waiters),
-                )
-                return Reply(error=ErrorCode.OVERLOADED, detail=b"no connection in time")
+                return self._refuse_begin(transaction)
             error = self._begin_on_connection(transaction, values, connection, need)
             if error is None:
                 transaction.connection = connection
@@ -224,6 +216,20 @@
             else:
                 excluded.add(connection.target.id)
                 self._router.reset_exhausted_exclusions(transaction.group, excluded)
+            if self._pool.now() >= deadline:
+                return self._refuse_begin(transaction)
+
+    @staticmethod
+    def _refuse_begin(transaction: Transaction) -> Reply:
+        logger().info(
+            "transaction-refused",
+            request=transaction.begin_request_id.decode(errors="replace"),
+            group=transaction.group.name,
+            workspace=transaction.workspace,
+            primary=transaction.group.leadership.primary_id,
+            waiting=len(transaction.group.waiters),
+        )
+        return Reply(error=ErrorCode.OVERLOADED, detail=b"no connection in time")
 
     def _begin_on_connection(
         self,
--- a/tests/proxy/test_statements.py
+++ b/tests/proxy/test_statements.py
@@ -8,7 +8,7 @@
 
 from siskindale.context import SystemClock
 from siskindale.models.catalog import Consistency, Route
-from siskindale.models.statements import Access, Statement, Verb
+from siskindale.models.statements import Access, ErrorCode, Reply, Statement, Verb
 from siskindale.models.vm import ProxySettings
 from siskindale.proxy.admission import Admission
 from siskindale.proxy.connection import TargetConnection
@@ -134,3 +134,60 @@
         runner.run(transaction, SessionValues(), None, READ, StatementKind.TRANSACTION_READ)
     runner.end(transaction)
     assert (target.in_flight, target.open_count, target.idle_connections) == (0, 0, [])
+
+
+@pytest.mark.parametrize("code", ErrorCode)
+@pytest.mark.parametrize("access", Access)
+def test_no_code_keeps_a_statement_beyond_its_deadline(
+    group: Group,
+    pool: ConnectionPool,
+    router: Router,
+    admission: Admission,
+    route: Callable[..., Route],
+    monkeypatch: pytest.MonkeyPatch,
+    code: ErrorCode,
+    access: Access,
+) -> None:
+    """Guards against a statement that is tried for ever, as a free connection always answers.
+
+    Seen with an unknown prepared name, which the target refused at once each time.
+    """
+    monkeypatch.setattr(StatementRunner, "_exchange_messages", lambda *_: Reply(error=code))
+    latest = route(consistency=Consistency.LATEST, timeout_s=0.05)
+    statement = Statement(b"1", Verb.READ, b"READ item", argument=b"item", access=access)
+    execution = StatementExecution(statement, latest, group, pool.now(), access, None)
+    started_at = pool.now()
+    reply = StatementRunner(pool, router, admission).run(execution, SessionValues())
+    assert reply.error is not None
+    assert pool.now() - started_at < 0.5
+
+
+@pytest.mark.parametrize("code", ErrorCode)
+@pytest.mark.parametrize("read_only", [False, True])
+def test_no_code_keeps_the_start_of_a_transaction_beyond_its_deadline(
+    group: Group,
+    pool: ConnectionPool,
+    router: Router,
+    admission: Admission,
+    route: Callable[..., Route],
+    monkeypatch: pytest.MonkeyPatch,
+    code: ErrorCode,
+    read_only: bool,
+) -> None:
+    """Guards against a transaction whose start is tried for ever."""
+
+    def refuse(
+        _runner: object, transaction: Transaction, _values: object, connection: Any, _need: object
+    ) -> ErrorCode:
+        pool.release(transaction.group, connection)
+        return code
+
+    monkeypatch.setattr(TransactionRunner, "_begin_on_connection", refuse)
+    latest = route(consistency=Consistency.LATEST, timeout_s=0.05)
+    transaction = Transaction(read_only, latest, group, pool.now(), b"1")
+    started_at = pool.now()
+    reply = TransactionRunner(pool, router, admission).run(
+        transaction, SessionValues(), None, READ, StatementKind.TRANSACTION_READ
+    )
+    assert reply.error is ErrorCode.OVERLOADED
+    assert pool.now() - started_at < 0.5
