--- a/tests/proxy/test_duty.py
+++ b/tests/proxy/test_duty.py
@@ -1,16 +1,20 @@
 """Tests of the failover duty with two proxies."""
 
 import signal
+import time
 from collections.abc import Iterator
 from typing import Any
+from unittest.mock import Mock, patch
 
+import gevent
 import pytest
 
 from bench.processes import free_addresses
 from bench.proxy_deployment import GROUP, Deployment, Proxy, eventually
 from siskindale.models.address import Address
 from siskindale.platform.store import PlatformStore
-from siskindale.proxy.duty import FailoverDuty
+from siskindale.proxy.duty import Duties, FailoverDuty
+from siskindale.proxy.tables import Group
 from siskindale.store.versions import version_in_era
 from standins.deployment.store import PlatformStandin
 from tests.proxy.settings import build_settings
@@ -143,3 +147,48 @@
     assert duty.token is None
     assert duty.take("held by an earlier start")
     assert duty.token is not None
+
+
+def test_a_former_holder_learns_of_the_next_one_from_what_peers_hold(
+    platform: PlatformStandin, group: Group
+) -> None:
+    """Guards against a VM that was cut off and goes on as the holder for good.
+
+    It misses the notices of that time, and reads the duty's row only while it holds no duty.
+    """
+    owned = Mock(owns_everything=lambda _: True)
+    store = PlatformStore(Address(*platform.server.address))
+    former, holder = (Duties(build_settings(vm=vm), store, owned) for vm in ("vm1", "vm2"))
+    assert former.of(group).take("vacant")
+    assert holder.of(group).take("holder is gone")
+    assert former.of(group).token is not None
+    for held in holder.report():
+        former.adopt_holder("vm2", held)
+    assert former.of(group).token is None
+    assert former.report() == ()
+
+
+def test_a_delayed_answer_of_the_store_does_not_bring_a_duty_back(
+    platform: PlatformStandin,
+) -> None:
+    """Guards against a VM that believes an answer from before a peer took the duty."""
+    former, holder = duty_of(platform, "vm1"), duty_of(platform, "vm2")
+    assert former.take("vacant")
+    delayed = former._tables.read("duties", "failover")
+    assert holder.take("holder is gone")
+    assert holder.token is not None
+    former.adopt_holder("vm2", holder.token)
+    with patch.object(former, "_tables", Mock(read=lambda *_: delayed)):
+        assert former.refresh()
+    assert former.token is None
+
+
+def test_a_vm_acts_on_what_peers_told_while_the_store_hangs(platform: PlatformStandin) -> None:
+    """Guards against a promotion that waits for a store without an answer."""
+    duty = duty_of(platform, "vm1")
+    assert duty.take("vacant")
+    with patch.object(duty, "_tables", Mock(read=lambda *_: gevent.sleep(30))):
+        started_at = time.monotonic()
+        assert not duty.confirm()
+        assert time.monotonic() - started_at < 1.0
+    assert duty.token is not None
--- a/tests/proxy/test_succession.py
+++ b/tests/proxy/test_succession.py
@@ -189,3 +189,14 @@
         "promote"
     ]
     assert len({call.holder for call in synchronous.platform.promotions}) == 1
+
+
+def test_replicas_that_a_lost_vm_left_stopped_receive_again(synchronous: Deployment) -> None:
+    """Guards against replicas that stay stopped, as the VM that stopped them was lost since."""
+    group = synchronous.group
+    group.targets["t1"].stopped = True
+    writer = synchronous.start_proxy().client()
+    eventually(lambda: writer.query("WRITE item 0").error is None, "the group has a primary")
+    assert group.targets["t1"].stopped
+    eventually(lambda: not group.targets["t1"].stopped, "the replica receives again")
+    assert group.term == 1
