Refuse members whose capacity is no number of processors

A message of a peer with a capacity of zero makes the choice of owners divide by zero, one that is not a number puts it out of order.

Cause: rows of the directory were checked, messages of peers were not.

Change: the type of the field bounds it, so each decoder refuses the rest.

Evidence: a test with six values, each of which was accepted from a peer before, and is refused now from peers and rows.

--- a/siskindale/models/members.py
+++ b/siskindale/models/members.py
@@ -1,12 +1,17 @@
 """Members of a fleet of session proxies, and the datagrams by which they know of each other."""
 
 import enum
+from typing import Annotated
 
 import attrs
+import msgspec
 
 from siskindale.models.address import Address
 from siskindale.models.messages import message
 
+# Processors of one VM, above any machine.
+MAX_CAPACITY = 1e6
+
 
 class MemberState(enum.IntEnum):
     """State of a member; of two facts of one incarnation, the one with the higher state holds."""
@@ -30,7 +35,7 @@
     failure_domain: str
     peers: Address
     forwarding: Address
-    capacity: float
+    capacity: Annotated[float, msgspec.Meta(gt=0.0, le=MAX_CAPACITY)]
     boot: str
     incarnation: int
     state: MemberState = MemberState.ALIVE
--- a/siskindale/proxy/directory.py
+++ b/siskindale/proxy/directory.py
@@ -5,7 +5,6 @@
 heard for long are removed, and a VM that was forgotten lists itself again when it is heard.
 """
 
-import math
 from collections.abc import Sequence
 from random import Random
 
@@ -192,8 +191,7 @@
     except (msgspec.ValidationError, ValueError, RecursionError) as error:
         logger().warning("directory-row-malformed", member=vm, reason=str(error))
         return None
-    usable = fact.vm == vm and math.isfinite(fact.capacity) and fact.capacity > 0
-    if not usable or not codec.can_be_encoded(MemberFacts((fact,))):
+    if fact.vm != vm or not codec.can_be_encoded(MemberFacts((fact,))):
         logger().warning("directory-row-malformed", member=vm, reason="not a member's own fact")
         return None
     return fact
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -5,15 +5,20 @@
 from typing import Any
 from unittest.mock import Mock
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Failure, Result, Success
 
+from siskindale.models.address import Address
 from siskindale.models.gossip import SampleAnswer
 from siskindale.models.group import LogPosition
+from siskindale.models.members import MemberFact, MemberFacts
+from siskindale.models.messages import Envelope
 from siskindale.platform import wire
 from siskindale.platform.store import PlatformStore
+from siskindale.proxy.directory import decode_row
 from siskindale.store.interface import WatchedTables
 from siskindale.store.versions import ERA_HEADER
 from siskindale.transport import codec
@@ -145,3 +150,14 @@
     """Guards against a version that cannot be told to other VMs."""
     found = store_answering(b'{"rows": [], "ver": 5}', era).snapshot("t")
     assert found.unwrap().version < 1 << 63
+
+
+@pytest.mark.parametrize("capacity", [float("nan"), float("inf"), -float("inf"), 0.0, -1.0, 1e300])
+def test_a_member_whose_capacity_is_no_number_of_processors_is_refused(capacity: float) -> None:
+    """Guards against a message of a peer by which the choice of owners fails or goes astray."""
+    address = Address("127.0.0.1", 9)
+    fact = MemberFact("vm1", "east", address, address, capacity, "boot", 1)
+    body = codec.encode_body(MemberFacts((fact,)))
+    envelope = Envelope("member-facts", "vm1", "boot", "", 0, 0.0, body)
+    assert isinstance(codec.decode_message(codec.encode_envelope(envelope)), Failure)
+    assert decode_row("vm1", msgspec.to_builtins(fact)) is None
