Break a link at once when one of its loops fails

What callers saw: nothing so far; found by reading (docs/findings.md). After an unforeseen exception in the receiving loop of a link, requests wait for replies that nobody reads, until the link counts as silent; at the owner the exception reached no log.

Cause: the loops expect OSError and FrameError only, and are not supervised, because a link ends.

Change: any other exception is logged with its traceback and breaks the link; the owner rolls back what the link has open.

--- a/siskindale/proxy/links.py
+++ b/siskindale/proxy/links.py
@@ -114,6 +114,10 @@
             self.close("closed by the owner")
         except (OSError, FrameError) as error:
             self.close(repr(error))
+        except Exception:
+            # A link that is not received from any more would let its requests wait for nothing.
+            logger().exception("link-failed", owner=str(self.address))
+            self.close("defect")
 
     def _monitor(self) -> None:
         """Breaks the link if the owner owes replies and gives no sign of life."""
--- a/siskindale/proxy/owner.py
+++ b/siskindale/proxy/owner.py
@@ -138,6 +138,8 @@
                 self._handle(*received)
         except (OSError, FrameError) as error:
             logger().info("served-link-lost", reason=repr(error), transactions=len(self._open))
+        except Exception:
+            logger().exception("served-link-failed", transactions=len(self._open))
         finally:
             limiter.kill()
             for transaction in self._open.values():
