Let the next attempt of a promotion follow a refused order at once again

The pause belongs to attempts that found no safe successor, as before. Seen by reading the diff; tests of the duty, the succession and the deployment pass (53).

--- a/siskindale/proxy/promoter.py
+++ b/siskindale/proxy/promoter.py
@@ -71,8 +71,7 @@
             return
         watch.preparing = True
         self.announce_preparation(watch)
-        if not self._promote(watch, successors[0], logs, started_at):
-            gevent.sleep(RETRY_S)
+        self._promote(watch, successors[0], logs, started_at)
 
     def announce_preparation(self, watch: GroupWatch) -> None:
         """Tells the peers that this VM prepares a promotion, unless it has had its time."""
@@ -89,19 +88,18 @@
         successor: Target,
         logs: dict[str, ReplicaLog],
         started_at: float,
-    ) -> bool:
-        """Promotes a target; returns whether the platform will do so."""
+    ) -> None:
+        """Promotes a target if that is safe; returns when it leads or on failure."""
         group = watch.group
         if group.limits.synchronous_replicas and not self._may_order(watch, successor, logs):
-            return False
-        if not self._rule_out_unanswered_call(watch, successor):
-            return False
-        if self._order_until_answered(watch, successor):
+            gevent.sleep(RETRY_S)
+            return
+        if self._rule_out_unanswered_call(watch, successor) and self._order_until_answered(
+            watch, successor
+        ):
             self._await_leadership(group, successor, started_at)
-            return True
-        if group.limits.synchronous_replicas:
+        elif group.limits.synchronous_replicas:
             self._stopped_replicas.resume(watch, set(logs))
-        return False
 
     def _may_order(self, watch: GroupWatch, successor: Target, logs: dict[str, ReplicaLog]) -> bool:
         """Returns whether the promotion of a target loses no acknowledged commit.
