Tell peers since when targets drain

What callers saw: nothing that was recorded.

Cause: the drain period is counted from the last time at which the registrations were known to differ, which is the own start.

Change: the gossip lists the targets that drain, with the time for which the sender has known it; the earliest time holds, for the same run of a target. About 60 bytes a target and message, while it drains.

--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -43,6 +43,19 @@
     fencing_token: int
 
 
+@attrs.frozen
+class DrainingTarget:
+    """A target that the sender has known to drain for `age_s`.
+
+    `started_ms` tells the runs of a target apart.
+    """
+
+    group: str
+    target: str
+    started_ms: int
+    age_s: float
+
+
 @message("gossip")
 @attrs.frozen
 class Gossip:
@@ -53,6 +66,7 @@
     `wants_answer` asks for the receiver's own state, of which the sender has not heard lately.
     `demands` are those of the workspaces for which the sender is the home. `loads` are what it runs
     at the targets whose connections it shares with other owners. `duties` are those that it holds.
+    `draining_targets` are those whose drain period runs.
     """
 
     vm: str
@@ -65,6 +79,7 @@
     demands: tuple[WorkspaceDemand, ...] = ()
     loads: tuple[OwnerLoad, ...] = ()
     duties: tuple[HeldDuty, ...] = ()
+    draining_targets: tuple[DrainingTarget, ...] = ()
 
 
 @message("state-request")
--- /dev/null
+++ b/siskindale/proxy/decisions/draining_targets.py
@@ -0,0 +1,33 @@
+"""Since when targets are draining, as the VMs tell each other.
+
+A VM that starts while a target drains finds only the fact in the store, not its time. It must not
+count the drain period from its own start.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from siskindale.models.catalog import RegistrationState
+from siskindale.models.gossip import DrainingTarget
+from siskindale.proxy.tables import Group
+
+
+def report(groups: Mapping[str, Group], now: float) -> tuple[DrainingTarget, ...]:
+    """Returns the targets that are draining, and for how long this VM has known it."""
+    return tuple(
+        DrainingTarget(group.name, target.id, target.entry.started_ms, now - target.draining_since)
+        for group in groups.values()
+        for target in group.targets.values()
+        if target.draining_since is not None
+    )
+
+
+def adopt(groups: Mapping[str, Group], reports: Iterable[DrainingTarget], now: float) -> None:
+    """Moves the start of drain periods back to what a peer has known for longer."""
+    for told in reports:
+        group = groups.get(told.group)
+        target = group.targets.get(told.target) if group is not None else None
+        if target is None or target.entry.started_ms != told.started_ms:
+            continue
+        if target.entry.state is RegistrationState.DRAINING and told.age_s >= 0:
+            known_since = now if target.draining_since is None else target.draining_since
+            target.draining_since = min(known_since, now - told.age_s)
--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -26,6 +26,7 @@
 from siskindale.models.vm import ProxySettings
 from siskindale.platform.entries import encode_target
 from siskindale.proxy.admission import Admission
+from siskindale.proxy.decisions import draining_targets
 from siskindale.proxy.decisions.balancing import ReportedLoad
 from siskindale.proxy.decisions.connections import is_starved
 from siskindale.proxy.duty import Duties
@@ -326,6 +327,7 @@
             demands=self._admission.report(),
             loads=self._owner_loads(),
             duties=self._duties.report(),
+            draining_targets=draining_targets.report(self._state.groups, self._clock.monotonic()),
         )
 
     def _send(
@@ -358,6 +360,7 @@
         self._yield_to_starved(gossip.starved)
         self._admission.note_report(gossip.demands)
         self._note_loads(gossip)
+        draining_targets.adopt(self._state.groups, gossip.draining_targets, self._clock.monotonic())
         for held in gossip.duties:
             self._duties.adopt_holder(gossip.vm, held)
         if gossip.wants_answer:
