Keep what a VM has seen of a drain period itself

Change: only a VM that started while the target drained takes what its peers tell, and only VMs that saw the target before tell it.

Evidence: found while reading the diff; a test of each half.

--- a/siskindale/proxy/decisions/draining_targets.py
+++ b/siskindale/proxy/decisions/draining_targets.py
@@ -12,22 +12,27 @@
 
 
 def report(groups: Mapping[str, Group], now: float) -> tuple[DrainingTarget, ...]:
-    """Returns the targets that are draining, and for how long this VM has known it."""
+    """Returns the targets that this VM has seen before they drained, and their time since then."""
     return tuple(
         DrainingTarget(group.name, target.id, target.entry.started_ms, now - target.draining_since)
         for group in groups.values()
         for target in group.targets.values()
-        if target.draining_since is not None
+        if target.draining_since is not None and target.drain_observed
     )
 
 
 def adopt(groups: Mapping[str, Group], reports: Iterable[DrainingTarget], now: float) -> None:
-    """Moves the start of drain periods back to what a peer has known for longer."""
+    """Moves the start of drain periods back, of targets that were draining when this VM started.
+
+    What this VM has seen itself stays: peers read the registrations at other times, and the
+    earliest of their bounds would end each drain period early.
+    """
     for told in reports:
         group = groups.get(told.group)
         target = group.targets.get(told.target) if group is not None else None
         if target is None or target.entry.started_ms != told.started_ms:
             continue
+        if target.draining_since is None or target.drain_observed:
+            continue
         if target.entry.state is RegistrationState.DRAINING and told.age_s >= 0:
-            known_since = now if target.draining_since is None else target.draining_since
-            target.draining_since = min(known_since, now - told.age_s)
+            target.draining_since = min(target.draining_since, now - told.age_s)
--- a/siskindale/proxy/state.py
+++ b/siskindale/proxy/state.py
@@ -307,6 +307,7 @@
         if target.entry.state is RegistrationState.DRAINING:
             if target.draining_since is None:
                 target.draining_since = self._targets_confirmed_at or self.now()
+                target.drain_observed = self._targets_confirmed_at is not None
         else:
             target.draining_since = None
 
--- a/siskindale/proxy/tables.py
+++ b/siskindale/proxy/tables.py
@@ -27,7 +27,8 @@
 
     `failure_share`: share of its latest statements that failed or got no reply, as of
     `failure_noted_at`.
-    `draining_since`: when the target was last known not to be draining.
+    `draining_since`: when the target was last known not to be draining; if it was draining already
+    when this VM started (not `drain_observed`), the earliest time that is known.
     `missing_since`: when this VM learned that the registration is gone.
     `full_at`: when the target last refused a connection because it had none free.
     `silent_since`: since when statements have been waiting without any reply.
@@ -61,6 +62,7 @@
     lacking_position: LogPosition | None = None
     lacking_until: float = 0.0
     draining_since: float | None = None
+    drain_observed: bool = True
     missing_since: float | None = None
     average_load: RunningAverage = attrs.field(factory=RunningAverage)
     reported_loads: dict[str, ReportedLoad] = attrs.field(factory=dict)
--- a/tests/proxy/test_draining_targets.py
+++ b/tests/proxy/test_draining_targets.py
@@ -17,17 +17,29 @@
     target = group.targets["a"]
     target.entry = attrs.evolve(target.entry, state=RegistrationState.DRAINING)
     target.draining_since = 100.0
+    target.drain_observed = False
     return group
 
 
 def test_the_earliest_known_start_of_a_drain_period_holds(draining: Group) -> None:
     """Guards against a drain period that a VM counts from its own start."""
-    (told,) = draining_targets.report({"g": draining}, 103.0)
-    assert told == DrainingTarget("g", "a", 1, 3.0)
-    draining_targets.adopt({"g": draining}, [attrs.evolve(told, age_s=5.5)], 101.0)
+    told = DrainingTarget("g", "a", 1, 5.5)
+    draining_targets.adopt({"g": draining}, [told], 101.0)
     assert draining.targets["a"].draining_since == 95.5
     draining_targets.adopt({"g": draining}, [attrs.evolve(told, age_s=0.5)], 101.0)
     assert draining.targets["a"].draining_since == 95.5
+    assert draining_targets.report({"g": draining}, 103.0) == ()
+
+
+def test_a_vm_that_has_seen_a_target_before_it_drained_keeps_what_it_knows(
+    draining: Group,
+) -> None:
+    """Guards against drain periods that end early, by the VM that read the registrations first."""
+    target = draining.targets["a"]
+    target.drain_observed = True
+    assert draining_targets.report({"g": draining}, 103.0) == (DrainingTarget("g", "a", 1, 3.0),)
+    draining_targets.adopt({"g": draining}, [DrainingTarget("g", "a", 1, 8.0)], 101.0)
+    assert target.draining_since == 100.0
 
 
 @pytest.mark.parametrize(
