Start transactions and exchange samples in modules of their own

The tests of statements share fixtures of their runners and of a route with little time, where they built them again; they assert what they did. Their hook for refused starts is at the new place.

--- a/siskindale/proxy/peers.py
+++ b/siskindale/proxy/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -32,6 +31,7 @@
 from siskindale.proxy.duty import Duties
 from siskindale.proxy.members import Membership
 from siskindale.proxy.ownership import Ownership
+from siskindale.proxy.samples import SampleExchange
 from siskindale.proxy.state import ProxyState
 from siskindale.proxy.tables import Group, Target
 from siskindale.runtime.logs import logger
@@ -48,9 +48,6 @@
 REQUEST_INTERVAL_S = 0.5
 # Peers whose watch of the store works have the catalog by then, and do not request it.
 ANNOUNCE_DELAY_S = 0.2
-SAMPLE_INTERVAL_S = 0.1
-SAMPLE_TIMEOUT_S = 2.0
-SAMPLE_PEERS = 3
 STATE_PEERS = 3
 
 
@@ -97,9 +94,7 @@
         self._peers: dict[str, Peer] = {}
         self._seeds = {s.inbox_url for s in settings.seeds if s != settings.peers}
         self._state_requested_at = 0.0
-        self._correlation_ids = itertools.count(1)
-        self._sample_requests: dict[int, float] = {}
-        self._sample_requested_at: dict[str, float] = {}
+        self._samples = SampleExchange(clock, state, self.live_owners, self._send)
         self.draining = False
 
     def connect(self, mailbox: Mailbox) -> None:
@@ -111,8 +106,8 @@
         mailbox.set_handler(PromotionNotice, self._on_promotion_notice)
         mailbox.set_handler(PreparationNotice, self._on_preparation_notice)
         mailbox.set_handler(TargetsNotice, self._on_targets_notice)
-        mailbox.set_handler(SampleRequest, self._on_sample_request)
-        mailbox.set_handler(SampleAnswer, self._on_sample_answer)
+        mailbox.set_handler(SampleRequest, self._samples.on_request)
+        mailbox.set_handler(SampleAnswer, self._samples.on_answer)
         mailbox.start()
 
     def reload(self, settings: ProxySettings) -> None:
@@ -208,45 +203,7 @@
 
     def request_sample(self, group: str) -> None:
         """Asks some peers for a sample of a group, at a limited rate."""
-        now = self._clock.monotonic()
-        if now < self._sample_requested_at.get(group, 0.0) + SAMPLE_INTERVAL_S:
-            return
-        self._sample_requested_at[group] = now
-        known_group = self._state.groups.get(group)
-        live = self.live_owners(known_group) if known_group else []
-        recipients = sorted(live, key=lambda peer: peer.draining)[:SAMPLE_PEERS]
-        for peer in recipients:
-            correlation_id = next(self._correlation_ids)
-            self._sample_requests[correlation_id] = now
-            self._send(peer.url, SampleRequest(group), correlation_id)
-        self._forget_expired_requests(now)
-
-    def _forget_expired_requests(self, now: float) -> None:
-        expired = [
-            correlation_id
-            for correlation_id, at in self._sample_requests.items()
-            if at < now - SAMPLE_TIMEOUT_S
-        ]
-        for correlation_id in expired:
-            del self._sample_requests[correlation_id]
-
-    def _on_sample_request(self, delivery: Delivery) -> None:
-        request: SampleRequest = delivery.body
-        group = self._state.groups.get(request.group)
-        if group is None or not group.freshness.samples:
-            return
-        sample = group.freshness.samples[-1]
-        age = self._clock.monotonic() - sample.taken_at
-        answer = SampleAnswer(group.name, sample.position, age)
-        envelope = delivery.envelope
-        self._send(envelope.reply_to, answer, envelope.correlation_id, envelope.sender_boot)
-
-    def _on_sample_answer(self, delivery: Delivery) -> None:
-        answer: SampleAnswer = delivery.body
-        asked_at = self._sample_requests.pop(delivery.envelope.correlation_id, None)
-        group = self._state.groups.get(answer.group)
-        if asked_at is not None and group is not None:
-            group.freshness.add_sample(answer.position, asked_at - answer.age_s)
+        self._samples.request(group)
 
     def _losses(self) -> tuple[Loss, ...]:
         return tuple(
--- a/tests/proxy/test_statements.py
+++ b/tests/proxy/test_statements.py
@@ -19,6 +19,7 @@
 from siskindale.proxy.routing import Router
 from siskindale.proxy.single import StatementExecution, StatementRunner
 from siskindale.proxy.tables import Group
+from siskindale.proxy.transaction_start import TransactionStarter
 from siskindale.proxy.transactions import Transaction, TransactionRunner
 from tests.proxy.settings import build_settings
 
@@ -75,18 +76,29 @@
     return Admission(build_settings(), SystemClock(), Mock())
 
 
+@pytest.fixture
+def statements(pool: ConnectionPool, router: Router, admission: Admission) -> StatementRunner:
+    """Runner of statements outside transactions."""
+    return StatementRunner(pool, router, admission)
+
+
+@pytest.fixture
+def transactions(pool: ConnectionPool, router: Router, admission: Admission) -> TransactionRunner:
+    """Runner of transactions."""
+    return TransactionRunner(pool, router, admission)
+
+
 def test_a_defect_during_a_statement_does_not_leave_it_in_flight(
     group: Group,
     pool: ConnectionPool,
-    router: Router,
-    admission: Admission,
+    statements: StatementRunner,
     route: Callable[..., Route],
 ) -> None:
     """Guards against a target that looks busy for ever after an unforeseen exception."""
     latest = route(consistency=Consistency.LATEST)
     execution = StatementExecution(READ, latest, group, pool.now(), Access.READ, None)
     with pytest.raises(RuntimeError):
-        StatementRunner(pool, router, admission).run(execution, SessionValues())
+        statements.run(execution, SessionValues())
     target = group.targets["a"]
     assert (target.in_flight, target.open_count, target.idle_connections) == (0, 0, [])
 
@@ -94,19 +106,17 @@
 def test_a_reset_connection_does_not_count_as_a_short_latency(
     group: Group,
     pool: ConnectionPool,
-    router: Router,
-    admission: Admission,
+    statements: StatementRunner,
     route: Callable[..., Route],
 ) -> None:
     """Guards against a target that resets connections and looks faster than all others."""
     target = group.targets["a"]
-    runner = StatementRunner(pool, router, admission)
     latest = route(consistency=Consistency.LATEST)
     execution = StatementExecution(READ, latest, group, pool.now(), Access.READ, None)
     target.in_flight = 1
     known_s = target.latency_s
     connection = target.idle_connections.pop()
-    runner._handle_broken_connection(execution, connection, ConnectionResetError(), pool.now())
+    statements._handle_broken_connection(execution, connection, ConnectionResetError(), pool.now())
     assert target.latency_s == known_s
     assert target.failure_share > 0
 
@@ -122,28 +132,31 @@
 def test_a_defect_inside_a_transaction_closes_its_connection(
     group: Group,
     pool: ConnectionPool,
-    router: Router,
-    admission: Admission,
+    transactions: TransactionRunner,
     route: Callable[..., Route],
 ) -> None:
     """Guards against a connection that stays in use after an unforeseen exception."""
     target = group.targets["a"]
     transaction = Transaction(False, route(), group, pool.now(), b"1", pool.take_idle(target))
-    runner = TransactionRunner(pool, router, admission)
     with pytest.raises(RuntimeError):
-        runner.run(transaction, SessionValues(), None, READ, StatementKind.TRANSACTION_READ)
-    runner.end(transaction)
+        transactions.run(transaction, SessionValues(), None, READ, StatementKind.TRANSACTION_READ)
+    transactions.end(transaction)
     assert (target.in_flight, target.open_count, target.idle_connections) == (0, 0, [])
 
 
+@pytest.fixture
+def hurried(route: Callable[..., Route]) -> Route:
+    """Route to the primary whose statements have little time."""
+    return route(consistency=Consistency.LATEST, timeout_s=0.05)
+
+
 @pytest.mark.parametrize("code", ErrorCode)
 @pytest.mark.parametrize("access", Access)
 def test_no_code_keeps_a_statement_beyond_its_deadline(
     group: Group,
     pool: ConnectionPool,
-    router: Router,
-    admission: Admission,
-    route: Callable[..., Route],
+    statements: StatementRunner,
+    hurried: Route,
     monkeypatch: pytest.MonkeyPatch,
     code: ErrorCode,
     access: Access,
@@ -153,12 +166,10 @@
     Seen with an unknown prepared name, which the target refused at once each time.
     """
     monkeypatch.setattr(StatementRunner, "_exchange_messages", lambda *_: Reply(error=code))
-    latest = route(consistency=Consistency.LATEST, timeout_s=0.05)
     statement = Statement(b"1", Verb.READ, b"READ item", argument=b"item", access=access)
-    execution = StatementExecution(statement, latest, group, pool.now(), access, None)
+    execution = StatementExecution(statement, hurried, group, pool.now(), access, None)
     started_at = pool.now()
-    reply = StatementRunner(pool, router, admission).run(execution, SessionValues())
-    assert reply.error is not None
+    assert statements.run(execution, SessionValues()).error is not None
     assert pool.now() - started_at < 0.5
 
 
@@ -167,9 +178,8 @@
 def test_no_code_keeps_the_start_of_a_transaction_beyond_its_deadline(
     group: Group,
     pool: ConnectionPool,
-    router: Router,
-    admission: Admission,
-    route: Callable[..., Route],
+    transactions: TransactionRunner,
+    hurried: Route,
     monkeypatch: pytest.MonkeyPatch,
     code: ErrorCode,
     read_only: bool,
@@ -177,17 +187,15 @@
     """Guards against a transaction whose start is tried for ever."""
 
     def refuse(
-        _runner: object, transaction: Transaction, _values: object, connection: Any, _need: object
+        _starter: object, transaction: Transaction, _values: object, connection: Any, _need: object
     ) -> ErrorCode:
         pool.release(transaction.group, connection)
         return code
 
-    monkeypatch.setattr(TransactionRunner, "_begin_on_connection", refuse)
-    latest = route(consistency=Consistency.LATEST, timeout_s=0.05)
-    transaction = Transaction(read_only, latest, group, pool.now(), b"1")
+    monkeypatch.setattr(TransactionStarter, "_begin_on_connection", refuse)
+    transaction = Transaction(read_only, hurried, group, pool.now(), b"1")
     started_at = pool.now()
-    reply = TransactionRunner(pool, router, admission).run(
-        transaction, SessionValues(), None, READ, StatementKind.TRANSACTION_READ
-    )
+    work = StatementKind.TRANSACTION_READ
+    reply = transactions.run(transaction, SessionValues(), None, READ, work)
     assert reply.error is ErrorCode.OVERLOADED
     assert pool.now() - started_at < 0.5
