Refuse quantities of peers that are no numbers, and show odd messages to be harmless

Cause: the age of a sample, the load of an owner, the demand of a workspace and the age of a drain period were any float. An age of minus one second is a sample from the future, an infinite drain period ends the use of a primary.

Change: their types bound them, so the decoder refuses the message.

Evidence: 16 messages (four kinds, NaN, infinity, a negative and a huge number), all of which accepts. A property over odd values of the new fields of the gossip fails there, too. One over the notice of a preparation, and five odd rows of the duty with a proxy and a promotion, found nothing to mend: they passed on.

--- a/siskindale/models/gossip.py
+++ b/siskindale/models/gossip.py
@@ -1,12 +1,19 @@
 """Messages between the session proxies of a deployment."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import attrs
+import msgspec
 
 from siskindale.models.group import LogPosition
 from siskindale.models.messages import message
 
+# Longer than any target drains.
+MAX_DRAIN_AGE_S = 86_400.0
+# Peers tell finite numbers, so that no sum or comparison of theirs goes astray.
+MAX_QUANTITY = 1e9
+Quantity = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_QUANTITY)]
+
 
 @attrs.frozen
 class Loss:
@@ -23,7 +30,7 @@
 
     group: str
     workspace: str
-    per_s: float
+    per_s: Quantity
 
 
 @attrs.frozen
@@ -32,7 +39,7 @@
 
     group: str
     target: str
-    running: float
+    running: Quantity
 
 
 @attrs.frozen
@@ -53,7 +60,7 @@
     group: str
     target: str
     started_ms: int
-    age_s: float
+    age_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DRAIN_AGE_S)]
 
 
 @message("gossip")
@@ -124,7 +131,7 @@
 
     group: str
     position: LogPosition
-    age_s: float
+    age_s: Quantity
 
 
 @message("promotion-notice")
--- a/siskindale/models/members.py
+++ b/siskindale/models/members.py
@@ -9,7 +9,7 @@
 from siskindale.models.address import Address
 from siskindale.models.messages import message
 
-# Processors of one VM, above any machine.
+# More processors than any VM has.
 MAX_CAPACITY = 1e6
 
 
--- a/siskindale/proxy/decisions/draining_targets.py
+++ b/siskindale/proxy/decisions/draining_targets.py
@@ -7,14 +7,19 @@
 from collections.abc import Iterable, Mapping
 
 from siskindale.models.catalog import RegistrationState
-from siskindale.models.gossip import DrainingTarget
+from siskindale.models.gossip import MAX_DRAIN_AGE_S, DrainingTarget
 from siskindale.proxy.tables import Group
 
 
 def report(groups: Mapping[str, Group], now: float) -> tuple[DrainingTarget, ...]:
     """Returns the targets that this VM has seen before they drained, and their time since then."""
     return tuple(
-        DrainingTarget(group.name, target.id, target.entry.started_ms, now - target.draining_since)
+        DrainingTarget(
+            group.name,
+            target.id,
+            target.entry.started_ms,
+            min(now - target.draining_since, MAX_DRAIN_AGE_S),
+        )
         for group in groups.values()
         for target in group.targets.values()
         if target.draining_since is not None and target.drain_observed
@@ -34,5 +39,5 @@
             continue
         if target.draining_since is None or target.drain_observed:
             continue
-        if target.entry.state is RegistrationState.DRAINING and told.age_s >= 0:
+        if target.entry.state is RegistrationState.DRAINING:
             target.draining_since = min(target.draining_since, now - told.age_s)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 from unittest.mock import Mock
 
@@ -12,7 +13,13 @@
 from returns.result import Failure, Result, Success
 
 from siskindale.models.address import Address
-from siskindale.models.gossip import SampleAnswer
+from siskindale.models.gossip import (
+    DrainingTarget,
+    Gossip,
+    OwnerLoad,
+    SampleAnswer,
+    WorkspaceDemand,
+)
 from siskindale.models.group import LogPosition
 from siskindale.models.members import MemberFact, MemberFacts
 from siskindale.models.messages import Envelope
@@ -161,3 +168,26 @@
     envelope = Envelope("member-facts", "vm1", "boot", "", 0, 0.0, body)
     assert isinstance(codec.decode_message(codec.encode_envelope(envelope)), Failure)
     assert decode_row("vm1", msgspec.to_builtins(fact)) is None
+
+
+@pytest.mark.parametrize("quantity", [float("nan"), float("inf"), -1.0, 1e300])
+@pytest.mark.parametrize(
+    "build",
+    [
+        lambda quantity: SampleAnswer("g", LogPosition(1, 2), quantity),
+        lambda quantity: Gossip("vm1", 1, 1, loads=(OwnerLoad("g", "a", quantity),)),
+        lambda quantity: Gossip("vm1", 1, 1, demands=(WorkspaceDemand("g", "w", quantity),)),
+        lambda quantity: Gossip(
+            "vm1", 1, 1, draining_targets=(DrainingTarget("g", "a", 1, quantity),)
+        ),
+    ],
+    ids=["sample", "load", "demand", "drain"],
+)
+def test_a_message_with_an_impossible_quantity_is_refused(
+    build: Callable[[float], Any], quantity: float
+) -> None:
+    """Guards against a sample from the future, and against sums that are no numbers."""
+    message = build(quantity)
+    body = codec.encode_body(message)
+    envelope = Envelope(message.kind, "vm1", "boot", "", 0, 0.0, body)
+    assert isinstance(codec.decode_message(codec.encode_envelope(envelope)), Failure)
--- a/tests/proxy/test_draining_targets.py
+++ b/tests/proxy/test_draining_targets.py
@@ -48,8 +48,6 @@
         DrainingTarget("g", "a", 2, 50.0),
         DrainingTarget("g", "b", 1, 50.0),
         DrainingTarget("other", "a", 1, 50.0),
-        DrainingTarget("g", "a", 1, -50.0),
-        DrainingTarget("g", "a", 1, float("nan")),
     ],
 )
 def test_reports_of_other_targets_or_runs_change_nothing(
--- a/tests/proxy/test_other_writers.py
+++ b/tests/proxy/test_other_writers.py
@@ -1,7 +1,9 @@
 """Entries that other writers leave in the store's tables."""
 
+import itertools
 import json
 from typing import Any
+from unittest.mock import Mock
 
 import msgspec
 import pytest
@@ -10,11 +12,17 @@
 from returns.result import Success
 
 from bench.proxy_deployment import Deployment, eventually
-from siskindale.models.gossip import TargetsNotice
+from siskindale.models.catalog import GroupLimits
+from siskindale.models.gossip import MAX_DRAIN_AGE_S, TargetsNotice
 from siskindale.models.members import MemberFact, MemberFacts
+from siskindale.models.messages import Body, Envelope
 from siskindale.platform.entries import decode_catalog, decode_target, encode_target
 from siskindale.proxy import directory
+from siskindale.proxy.decisions import draining_targets
+from siskindale.proxy.duty import Duties
+from siskindale.proxy.tables import Group, Target
 from siskindale.transport import codec
+from tests.proxy.settings import build_settings
 
 VALID_TARGET: dict[str, Any] = {
     "service": "g1",
@@ -140,3 +148,82 @@
     for candidate in (raw, {**raw, "limits": {}, name: value}, {**raw, "tenants": [tenant]}):
         decode_catalog(candidate)
         assert json.dumps(candidate)
+
+
+GOSSIP: dict[str, Any] = {
+    "vm": "vm2",
+    "catalog_version": 1,
+    "targets_version": 1,
+    "duties": [{"key": "failover", "fencing_token": 7}],
+    "draining_targets": [{"group": "g", "target": "a", "started_ms": 1, "age_s": 2.0}],
+}
+
+
+def receive(kind: str, body: dict[str, Any]) -> Body | None:
+    """Returns a message as a VM receives it, None if it is refused or cannot be written."""
+    try:
+        raw = msgspec.Raw(msgspec.msgpack.encode(body))
+    except (OverflowError, ValueError, RecursionError):
+        return None
+    envelope = Envelope(kind, "vm2", "boot", "", 0, 0.0, raw)
+    received = codec.decode_message(codec.encode_envelope(envelope))
+    return received.unwrap()[1] if isinstance(received, Success) else None
+
+
+@pytest.mark.usefixtures("unicode_tables")
+@given(
+    field=st.sampled_from(
+        [*itertools.product(["duties"], ["key", "fencing_token", ""])]
+        + [*itertools.product(["draining_targets"], ["group", "target", "started_ms", "age_s", ""])]
+    ),
+    value=ODD_VALUES,
+)
+def test_odd_duties_and_drain_periods_of_a_peer_are_refused_or_change_nothing_else(
+    field: tuple[str, str], value: Any
+) -> None:
+    """Guards against one message of a peer that ends the exchange, or the use of a primary."""
+    name, part = field
+    gossip = receive(
+        "gossip", {**GOSSIP, name: [{**GOSSIP[name][0], part: value}] if part else value}
+    )
+    if gossip is None:
+        return
+    entry = decode_target("a", {**VALID_TARGET, "state": "draining", "born": 1}).unwrap()
+    group = Group("g", GroupLimits(16), {"a": Target(entry, draining_since=100.0)})
+    group.targets["a"].drain_observed = False
+    draining_targets.adopt({"g": group}, gossip.draining_targets, 101.0)
+    since = group.targets["a"].draining_since
+    assert since is not None
+    assert 101.0 - MAX_DRAIN_AGE_S <= since <= 100.0
+    duties = Duties(build_settings(), Mock(), Mock(owns_everything=lambda _: True))
+    assert duties.of(group).token is None
+    for held in gossip.duties:
+        duties.adopt_holder(gossip.vm, held)
+    assert duties.of(group).token is None
+
+
+@pytest.mark.usefixtures("unicode_tables")
+@given(name=st.sampled_from(["group", "fencing_token"]), value=ODD_VALUES)
+def test_an_odd_notice_of_a_preparation_is_refused_or_names_a_group(name: str, value: Any) -> None:
+    """Guards against a notice that ends the handling of messages."""
+    notice = receive("preparation-notice", {"group": "g", "fencing_token": 7, name: value})
+    assert notice is None or isinstance(notice.group, str) and isinstance(notice.fencing_token, int)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [{}, {"holder": 7}, {"holder": "v\udc80"}, {"holder": nested(900)}, {"holder": [None] * 3}],
+    ids=["empty", "number", "surrogate", "nested", "list"],
+)
+def test_an_odd_row_of_the_duty_is_taken_over(
+    deployment: Deployment, value: dict[str, Any]
+) -> None:
+    """Guards against a row of another writer that leaves a fleet without promotions."""
+    deployment.platform.put("duties", "failover", value)
+    proxy = deployment.start_proxy("vm1")
+    client = proxy.client()
+    assert client.query("WRITE item 1").error is None
+    eventually(lambda: "duty-taken" in proxy.log, "the proxy has taken the duty")
+    deployment.group.primary.crash()
+    eventually(lambda: client.query("WRITE item 2").error is None, "a successor leads")
+    assert "Traceback" not in proxy.log
