--- a/bench/commands.py
+++ b/bench/commands.py
@@ -3,6 +3,7 @@
 import itertools
 import os
 import platform
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -235,17 +236,24 @@
     seconds: Annotated[float, typer.Option(help="Time in which troubles begin.")] = 30.0,
     vms: Annotated[int, typer.Option(help="Number of session proxies.")] = 3,
     out: Annotated[Path | None, typer.Option(help="File for the figures of each run.")] = None,
+    keep: Annotated[
+        Path | None, typer.Option(help="Directory for the logs of each run that finds something.")
+    ] = None,
 ) -> None:
     """Run session proxies under overlapping troubles and judge what callers saw.
 
     With TROUBLE=0 in the environment the callers run without troubles.
     """
     troubles = os.environ.get("TROUBLE", "1") != "0"
+    # A process that crashes in native code then leaves its stack in its log.
+    os.environ.setdefault("PYTHONFAULTHANDLER", "1")
     reports = []
     for current in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory(prefix="siskindale-soak-") as directory:
             plan = SoakPlan(current, seconds, vms, troubles)
             report = soak_report(plan, *run_soak(plan, Path(directory)))
+            if keep is not None and report.violations:
+                shutil.copytree(directory, keep / f"seed-{current}", dirs_exist_ok=True)
         print("\n".join(report.lines()), flush=True)
         reports.append(report)
     if out is not None:
