--- a/tests/proxy/test_session_state.py
+++ b/tests/proxy/test_session_state.py
@@ -1,5 +1,6 @@
 """Tests of session values and prepared statements on shared connections."""
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -29,38 +30,66 @@
     return Statement(b"1", Verb.EXECUTE, b"", name, b"item")
 
 
-@given(st.lists(st.tuples(SESSIONS, SHAPES), min_size=1, max_size=12), st.data())
-def test_a_connection_has_the_state_of_each_session_that_uses_it(
-    sessions: list[tuple[dict[bytes, bytes], dict[bytes, PreparedStatement]]], data: st.DataObject
+SESSION_LISTS = st.lists(st.tuples(SESSIONS, SHAPES), min_size=1, max_size=12)
+
+
+@attrs.define
+class ModelTarget:
+    """What a target has on a connection."""
+
+    values: dict[bytes, bytes] = attrs.field(factory=dict)
+    prepared: dict[bytes, PreparedStatement] = attrs.field(factory=dict)
+
+    def carry_out(self, step: Reset | SetValue | Prepare) -> None:
+        """Does what a step says."""
+        if isinstance(step, Reset):
+            self.values.clear()
+            self.prepared.clear()
+        elif isinstance(step, SetValue):
+            self.values[step.name] = step.value
+        else:
+            self.prepared[step.name] = step.prepared
+
+
+def check_flights(
+    sessions: list[tuple[dict[bytes, bytes], dict[bytes, PreparedStatement]]],
+    data: st.DataObject,
+    refusing: bool,
 ) -> None:
-    """Guards against running with the values or prepared statements of an earlier session.
+    """Sends the steps of each session to a target, which may refuse them from one step on.
 
-    The steps are applied to a model of the target, which refuses some flights from one of their
-    steps on. If it refuses none, it must then have exactly the session's values, and the shared
-    name must refer to the session's statement.
+    After a flight that was not refused, the target must have exactly the session's values, and the
+    shared name must refer to the session's statement.
     """
-    connection = ConnectionValues()
-    values: dict[bytes, bytes] = {}
-    prepared: dict[bytes, PreparedStatement] = {}
+    connection, target = ConnectionValues(), ModelTarget()
     for session_values, statements in sessions:
         name = data.draw(st.sampled_from(sorted(statements)))
         steps = preparation_steps(
             connection, SessionValues(session_values, statements), execute_statement(name)
         )
-        confirmed = data.draw(st.integers(0, len(steps)) | st.just(len(steps)))
-        for step in steps[:confirmed]:
+        accepted = data.draw(st.integers(0, len(steps))) if refusing else len(steps)
+        for step in steps[:accepted]:
+            target.carry_out(step)
             connection.record(step)
-            if isinstance(step, Reset):
-                values.clear()
-                prepared.clear()
-            elif isinstance(step, SetValue):
-                values[step.name] = step.value
-            else:
-                prepared[step.name] = step.prepared
-        if confirmed < len(steps):
-            continue
-        assert values == session_values
-        assert prepared[shared_name(statements[name])] == statements[name]
+        if accepted == len(steps):
+            assert target.values == session_values
+            assert target.prepared[shared_name(statements[name])] == statements[name]
+
+
+@given(SESSION_LISTS, st.data())
+def test_a_connection_has_the_state_of_each_session_that_uses_it(
+    sessions: list[tuple[dict[bytes, bytes], dict[bytes, PreparedStatement]]], data: st.DataObject
+) -> None:
+    """Guards against running with the values or prepared statements of an earlier session."""
+    check_flights(sessions, data, refusing=False)
+
+
+@given(SESSION_LISTS, st.data())
+def test_refused_steps_do_not_count_as_done(
+    sessions: list[tuple[dict[bytes, bytes], dict[bytes, PreparedStatement]]], data: st.DataObject
+) -> None:
+    """Guards against a statement that runs without what an earlier flight was refused."""
+    check_flights(sessions, data, refusing=True)
 
 
 def test_equal_statements_are_prepared_once() -> None:
