--- a/tests/proxy/test_replacement_machine.py
+++ b/tests/proxy/test_replacement_machine.py
@@ -182,8 +182,8 @@
 class ModelVm:
     """A VM whose calls each wait until the model lets it go on."""
 
-    def __init__(self, name: str, world: World, machine: "ReplacementMachine") -> None:
-        self.name, self.world, self.machine = name, world, machine
+    def __init__(self, name: str, world: World, model: "ReplacementMachine") -> None:
+        self.name, self.world, self.model = name, world, model
         self.cut_from: set[str] = set()
         self.store_down = False
         self.asking = ""
@@ -235,9 +235,7 @@
                 peer.duties.adopt_holder(self.name, HeldDuty(held.key, held.fencing_token))
 
     def _reachable(self) -> Iterator["ModelVm"]:
-        return (
-            vm for vm in self.machine.vms.values() if vm.name not in {*self.cut_from, self.name}
-        )
+        return (vm for vm in self.model.vms.values() if vm.name not in {*self.cut_from, self.name})
 
     def _note_taken(self, _: str) -> None:
         self.watch.duty_taken_at = self.world.now
@@ -492,76 +490,76 @@
     run_state_machine_as_test(ReplacementMachine, settings=MACHINE_SETTINGS)
 
 
-def drive(machine: ReplacementMachine, name: str, until: Callable[[], object] = bool) -> None:
+def drive(model: ReplacementMachine, name: str, until: Callable[[], object] = bool) -> None:
     """Lets a VM make its calls until a condition holds or its attempt ends."""
-    vm = machine.vms[name]
+    vm = model.vms[name]
     for _ in range(100):
         if until() or vm.running is None or vm.running.ready():
             return
-        machine.go_on(name, 1)
+        model.go_on(name, 1)
 
 
-def leave(machine: ReplacementMachine, name: str, target: str) -> None:
+def leave(model: ReplacementMachine, name: str, target: str) -> None:
     """Makes a VM see a target as leaving, so that it prefers another one as equal to it."""
-    known = machine.vms[name].watch.group.targets[target]
+    known = model.vms[name].watch.group.targets[target]
     known.entry = attrs.evolve(known.entry, state=RegistrationState.DRAINING)
 
 
-def former_holder_goes_on(machine: ReplacementMachine) -> None:
+def former_holder_goes_on(model: ReplacementMachine) -> None:
     """A VM takes the duty; the one before, cut off from it, has stopped a replica."""
-    machine.attempt("vm1")
-    drive(machine, "vm1", lambda: machine.vms["vm1"].asking == "PAUSE")
-    machine.cut_peers("vm1")
-    machine.attempt("vm2")
-    drive(machine, "vm1", lambda: machine.world.ordered)
-    assert machine.world.ordered == []
+    model.attempt("vm1")
+    drive(model, "vm1", lambda: model.vms["vm1"].asking == "PAUSE")
+    model.cut_peers("vm1")
+    model.attempt("vm2")
+    drive(model, "vm1", lambda: model.world.ordered)
+    assert model.world.ordered == []
 
 
-def next_holder_prefers_another_target(machine: ReplacementMachine) -> None:
+def next_holder_prefers_another_target(model: ReplacementMachine) -> None:
     """The platform carries out the call of one VM when another one chooses another target."""
-    machine.world.promote_s = SLOW_PROMOTE_S
-    machine.attempt("vm1")
-    drive(machine, "vm1", lambda: machine.world.calls)
-    leave(machine, "vm2", "b")
-    machine.vms["vm2"].duties.of(machine.vms["vm2"].watch.group).take("the holder is gone")
-    machine.attempt("vm2")
-    drive(machine, "vm2", lambda: machine.world.ordered != ["b"])
-    assert machine.world.ordered == ["b"]
+    model.world.promote_s = SLOW_PROMOTE_S
+    model.attempt("vm1")
+    drive(model, "vm1", lambda: model.world.calls)
+    leave(model, "vm2", "b")
+    model.vms["vm2"].duties.of(model.vms["vm2"].watch.group).take("the holder is gone")
+    model.attempt("vm2")
+    drive(model, "vm2", lambda: model.world.ordered != ["b"])
+    assert model.world.ordered == ["b"]
 
 
-def lost_call_is_carried_out_late(machine: ReplacementMachine) -> None:
+def lost_call_is_carried_out_late(model: ReplacementMachine) -> None:
     """A call without an answer is carried out while another VM prepares another target."""
-    machine.lose_answers(True)
-    machine.attempt("vm1")
-    drive(machine, "vm1", lambda: machine.world.calls)
-    machine.vms["vm1"].running.kill()  # type: ignore[union-attr]
-    machine.lose_answers(False)
-    machine.wait(3.0)
-    leave(machine, "vm2", "b")
-    machine.vms["vm2"].duties.of(machine.vms["vm2"].watch.group).take("the holder is gone")
-    machine.attempt("vm2")
-    drive(machine, "vm2", lambda: machine.vms["vm2"].asking == "PAUSE")
-    machine.write(["b"])
-    machine.go_on("vm2", 1)
-    machine.carry_out(0)
-    machine.deliver("a")
-    machine.write(["p"])
-    drive(machine, "vm2", lambda: machine.world.ordered[-1] == "a")
-    machine.wait(3.0)
-    assert not machine.world.lost
-
-
-def message_to_resume_is_held_up(machine: ReplacementMachine) -> None:
+    model.lose_answers(True)
+    model.attempt("vm1")
+    drive(model, "vm1", lambda: model.world.calls)
+    model.vms["vm1"].running.kill()  # type: ignore[union-attr]
+    model.lose_answers(False)
+    model.wait(3.0)
+    leave(model, "vm2", "b")
+    model.vms["vm2"].duties.of(model.vms["vm2"].watch.group).take("the holder is gone")
+    model.attempt("vm2")
+    drive(model, "vm2", lambda: model.vms["vm2"].asking == "PAUSE")
+    model.write(["b"])
+    model.go_on("vm2", 1)
+    model.carry_out(0)
+    model.deliver("a")
+    model.write(["p"])
+    drive(model, "vm2", lambda: model.world.ordered[-1] == "a")
+    model.wait(3.0)
+    assert not model.world.lost
+
+
+def message_to_resume_is_held_up(model: ReplacementMachine) -> None:
     """A VM is about to let a replica receive again when another one relies on its stop."""
-    machine.vms["vm1"].duties.of(machine.vms["vm1"].watch.group).take("vacant")
-    machine.wait(16.0)
-    machine.give_up("vm1")
-    machine.attempt("vm2")
-    drive(machine, "vm2", lambda: machine.world.calls)
-    drive(machine, "vm1")
-    machine.write(["a"])
-    machine.wait(3.0)
-    assert not machine.world.lost
+    model.vms["vm1"].duties.of(model.vms["vm1"].watch.group).take("vacant")
+    model.wait(16.0)
+    model.give_up("vm1")
+    model.attempt("vm2")
+    drive(model, "vm2", lambda: model.world.calls)
+    drive(model, "vm1")
+    model.write(["a"])
+    model.wait(3.0)
+    assert not model.world.lost
 
 
 Scenario = Callable[[ReplacementMachine], None]
@@ -575,14 +573,14 @@
 
 def play(scenario: Scenario) -> None:
     """Plays a scenario with two replicas that have the same commits."""
-    machine = ReplacementMachine()
-    machine.choose(1)
-    machine.write(["a", "b"])
-    machine.deliver("a")
+    model = ReplacementMachine()
+    model.choose(1)
+    model.write(["a", "b"])
+    model.deliver("a")
     try:
-        scenario(machine)
+        scenario(model)
     finally:
-        machine.teardown()
+        model.teardown()
 
 
 @pytest.mark.parametrize(("scenario", "module", "name", "mutation"), SCENARIOS)
