Show that a replica the store lists is left out when a successor is chosen

Cause: the machines read the entries of the instances every 5 s, all within the same 0.3 s. The choice of a successor takes the known ones for all replicas that may have acknowledged a commit, also where the service has sync_replicas 1.

Change: review/11 replaces one replica as planned, then lets the other one receive nothing while the primary crashes, 2.7 s after the new replica has registered. review/standin3 is the stand-in of the platform, its instances and its clients that the scripts of this review use.

--- /dev/null
+++ b/review/11/case.py
@@ -0,0 +1,91 @@
+"""A replica that the store lists is left out when a successor is chosen."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+
+from review.standin3.instances import manifest  # noqa: E402
+from review.standin3.lab import ZONES, Lab, judge_lost, run_case, trouble, writer  # noqa: E402
+
+SERVICE, DATABASE = "lager7", "db-filing"
+MACHINES = 7
+DRAIN_S = 7.0
+# An instance is started again while the machines read the entries of servers every 5 s.
+RESTART_S = 11.0
+DEAF_S = 6.5
+CRASH_AFTER_S = 2.5
+DOWN_S = 7.0
+
+
+async def after_next_read(lab: Lab) -> None:
+    """Waits until all machines have just read the entries of the instances."""
+    since = time.monotonic()
+    while any(lab.platform.last_read("servers").get(m, 0.0) < since for m in lab.machines):
+        await asyncio.sleep(0.02)
+    # The last of these calls is answered by then.
+    await asyncio.sleep(0.2)
+
+
+async def case(lab: Lab) -> bool:
+    """Replaces a replica as planned, then lets the primary crash while another hears nothing."""
+    service = lab.service(SERVICE, sync=1)
+    primary = await service.add("i-one", ZONES[0], primary=True)
+    lagging = await service.add("i-two", ZONES[1])
+    leaving = await service.add("i-three", ZONES[2])
+    routes = {DATABASE: {"service": SERVICE, "kind": "primary"}}
+    lab.platform.store.put("op", "config", manifest(1, routes, {SERVICE: 1}))
+    machines = await lab.start_machines(MACHINES)
+    outcomes: dict[str, str] = {}
+    ended = asyncio.Event()
+    writers = [
+        asyncio.create_task(
+            writer(lab, machine, DATABASE, f"w{index}-", 0.1, ended.is_set, outcomes)
+        )
+        for index, machine in enumerate(machines)
+    ]
+
+    lab.note("planned: i-three reports draining, and is replaced")
+    leaving.state = "draining"
+    leaving.register()
+    await asyncio.sleep(DRAIN_S + 1.0)
+    await leaving.leave()
+    lab.note("i-three has left; its entry is removed")
+    await asyncio.sleep(RESTART_S)
+    await after_next_read(lab)
+    new = await service.add("i-four", ZONES[2], replaces=leaving)
+    lab.note("i-four starts at the address of i-three, with its log; its entry is in the store")
+    await asyncio.sleep(0.2)
+    if trouble():
+        lagging.deaf = True
+        lab.note("trouble: i-two receives nothing for a while")
+    await asyncio.sleep(CRASH_AFTER_S)
+    if trouble():
+        lab.note(f"trouble: the primary crashes at {primary.position}, i-four has {new.position}")
+        await primary.crash()
+    await asyncio.sleep(DEAF_S - CRASH_AFTER_S)
+    lagging.deaf = False
+    service.ship(lagging)
+    await asyncio.sleep(DOWN_S - (DEAF_S - CRASH_AFTER_S))
+    if trouble():
+        await primary.start()
+        service.ship(primary)
+        lab.note("the crashed instance is back")
+    await asyncio.sleep(1.0)
+    ended.set()
+    await asyncio.gather(*writers)
+
+    known = [m for m in lab.logged("target-added") if "target=i-four" in m]
+    lab.note(f"machines that have read the entry of i-four by the end: {len(known)}")
+    for at, machine, target in lab.platform.calls:
+        if "table=servers" in target:
+            lab.note_at(at, f"platform: {machine} reads the entries of the instances")
+    for line in lab.logged("promotion-decided"):
+        lab.note(f"log of {line}")
+    return judge_lost(lab, SERVICE, outcomes)
+
+
+if __name__ == "__main__":
+    run_case(case, Path(__file__).resolve().parent)
