Show that a client can make another client's prepared statement run its own

Cause: prepared statements are named on connections by the 64-bit xxh3 of access and shape, and a name that is known is not prepared again.

The stand-in instances record which shape a prepared name ran.

--- a/review/standin3/instances.py
+++ b/review/standin3/instances.py
@@ -41,6 +41,8 @@
         self.server: asyncio.Server | None = None
         self.heartbeat: asyncio.Task[None] | None = None
         self.executed: list[tuple[float, str, str, tuple[int, int]]] = []
+        # Request, access and shape of each run of a prepared statement.
+        self.prepared_runs: list[tuple[str, str, str]] = []
 
     async def start(self) -> None:
         """Listens, at the same port as before, and registers."""
@@ -196,7 +198,8 @@
             name, _, rest = rest.partition(" ")
             if name not in self._prepared:
                 return self._fail("NOSTMT")
-            word = self._prepared[name][0]
+            word, shape = self._prepared[name]
+            instance.prepared_runs.append((request, word, shape))
         if word == "READ":
             return await self._read(request, rest)
         if word == "WRITE":
