Show that a replica that left with acknowledged commits is forgotten

Cause: once the entry of an instance is missing for 3 s, it no longer counts as one that may hold acknowledged commits. A successor that lacks them was rightly refused until then, and is promoted at once. The position that the primary's last replies named is not compared with its log.

Change: review/12 lets a replica leave as planned while the other one receives nothing, and the primary crash 0.8 s later for 7 s. The case of the late RESUME becomes review/14.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""An order to receive again is carried out late, after a later one was answered."""
+"""A replica that left with acknowledged commits is forgotten when a successor is chosen."""
 
 import asyncio
 import sys
@@ -12,41 +12,32 @@
 
 SERVICE, DATABASE = "lager7", "db-filing"
 MACHINES = 7
-LATE_MIN_S, LATE_MAX_S = 2.0, 12.0
+DRAIN_S = 7.0
+# The machines read the entries of servers at this interval.
+READ_INTERVAL_S = 5.0
+DEAF_BEFORE_S = 1.0
 DEAF_S = 6.5
+CRASH_AFTER_S = 0.8
+DOWN_S = 7.0
+# The instance that takes the log of the replaced one starts this long after it has left.
+RESTART_S = 8.0
 
 
-async def order(lab: Lab, name: str, word: str, since: float) -> float:
-    """Waits until an instance has answered an order; returns when."""
-    while True:
-        for at, instance, given in lab.services[SERVICE].orders:
-            if at >= since and (instance, given) == (name, word):
-                return at
-        await asyncio.sleep(0.01)
+async def before_next_read(lab: Lab, lead_s: float) -> None:
+    """Waits until the machines will read the entries of the instances in `lead_s`."""
+    last = min(lab.platform.last_read("servers").values())
+    wait_s = last + READ_INTERVAL_S - lead_s - time.monotonic()
+    await asyncio.sleep(wait_s if wait_s > 0 else wait_s + READ_INTERVAL_S)
 
 
 async def case(lab: Lab) -> bool:
-    """Lets the order to receive again be late, then replaces the primary as planned."""
+    """Replaces a replica as planned, while another hears nothing and the primary crashes."""
     service = lab.service(SERVICE, sync=1)
     primary = await service.add("i-one", ZONES[0], primary=True)
     lagging = await service.add("i-two", ZONES[1])
-    resumed = await service.add("i-three", ZONES[2])
+    leaving = await service.add("i-three", ZONES[2])
     routes = {DATABASE: {"service": SERVICE, "kind": "primary"}}
     lab.platform.store.put("op", "config", manifest(1, routes, {SERVICE: 1}))
-    started = time.monotonic()
-    late_since: list[float] = []
-
-    async def carry_out_late() -> None:
-        late_since.append(time.monotonic())
-        await order(lab, resumed.name, "PAUSE", late_since[0])
-        await asyncio.sleep(0.3)
-        elapsed = time.monotonic() - late_since[0]
-        lab.note(f"trouble: i-three carries out RESUME {elapsed:.1f} s after it was sent")
-        if not LATE_MIN_S <= elapsed <= LATE_MAX_S:
-            raise RuntimeError("the order would be later than the pages allow")
-
-    if trouble():
-        resumed.late_orders.append(("RESUME", carry_out_late))
     machines = await lab.start_machines(MACHINES)
     outcomes: dict[str, str] = {}
     ended = asyncio.Event()
@@ -56,25 +47,41 @@
         )
         for index, machine in enumerate(machines)
     ]
-    await order(lab, resumed.name, "RESUME", started)
-    lab.note("i-three has answered an order to receive")
     await asyncio.sleep(1.0)
-    lab.note("planned: i-one reports draining")
-    since = time.monotonic()
-    primary.state = "draining"
-    primary.register()
-    await order(lab, resumed.name, "PAUSE", since)
-    await asyncio.sleep(0.1)
+    lab.note("planned: i-three reports draining, and is replaced")
+    leaving.state = "draining"
+    leaving.register()
+    await asyncio.sleep(DRAIN_S)
+    await before_next_read(lab, DEAF_BEFORE_S + 0.4)
+    deaf_at = time.monotonic()
     if trouble():
         lagging.deaf = True
         lab.note("trouble: i-two receives nothing for a while")
-    await asyncio.sleep(DEAF_S)
+    await asyncio.sleep(DEAF_BEFORE_S)
+    await leaving.leave()
+    left_at = time.monotonic()
+    lab.note(f"i-three has left with {leaving.position}; its entry is removed")
+    await asyncio.sleep(CRASH_AFTER_S)
+    crashed_at = time.monotonic()
+    if trouble():
+        lab.note(f"trouble: the primary crashes at {primary.position}")
+        await primary.crash()
+    await asyncio.sleep(deaf_at + DEAF_S - time.monotonic())
     lagging.deaf = False
     service.ship(lagging)
-    await asyncio.sleep(2.0)
+    lab.note("i-two receives again")
+    await asyncio.sleep(crashed_at + DOWN_S - time.monotonic())
+    if trouble():
+        await primary.start()
+        service.ship(primary)
+        lab.note("the crashed instance is back")
+    await asyncio.sleep(left_at + RESTART_S - time.monotonic())
+    await service.add("i-four", ZONES[2], replaces=leaving)
+    lab.note(f"i-four starts at the address of i-three, with its log up to {leaving.position}")
+    await asyncio.sleep(3.0)
     ended.set()
     await asyncio.gather(*writers)
-    for line in [*lab.logged("replicas-resumed"), *lab.logged("promotion-decided")]:
+    for line in [*lab.logged("promotion-decided"), *lab.logged("target-removed")]:
         lab.note(f"log of {line}")
     return judge_lost(lab, SERVICE, outcomes)
 
--- /dev/null
+++ b/review/14/case.py
@@ -0,0 +1,83 @@
+"""An order to receive again is carried out late, after a later one was answered."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+
+from review.standin3.instances import manifest  # noqa: E402
+from review.standin3.lab import ZONES, Lab, judge_lost, run_case, trouble, writer  # noqa: E402
+
+SERVICE, DATABASE = "lager7", "db-filing"
+MACHINES = 7
+LATE_MIN_S, LATE_MAX_S = 2.0, 12.0
+DEAF_S = 6.5
+
+
+async def order(lab: Lab, name: str, word: str, since: float) -> float:
+    """Waits until an instance has answered an order; returns when."""
+    while True:
+        for at, instance, given in lab.services[SERVICE].orders:
+            if at >= since and (instance, given) == (name, word):
+                return at
+        await asyncio.sleep(0.01)
+
+
+async def case(lab: Lab) -> bool:
+    """Lets the order to receive again be late, then replaces the primary as planned."""
+    service = lab.service(SERVICE, sync=1)
+    primary = await service.add("i-one", ZONES[0], primary=True)
+    lagging = await service.add("i-two", ZONES[1])
+    resumed = await service.add("i-three", ZONES[2])
+    routes = {DATABASE: {"service": SERVICE, "kind": "primary"}}
+    lab.platform.store.put("op", "config", manifest(1, routes, {SERVICE: 1}))
+    started = time.monotonic()
+    late_since: list[float] = []
+
+    async def carry_out_late() -> None:
+        late_since.append(time.monotonic())
+        await order(lab, resumed.name, "PAUSE", late_since[0])
+        await asyncio.sleep(0.3)
+        elapsed = time.monotonic() - late_since[0]
+        lab.note(f"trouble: i-three carries out RESUME {elapsed:.1f} s after it was sent")
+        if not LATE_MIN_S <= elapsed <= LATE_MAX_S:
+            raise RuntimeError("the order would be later than the pages allow")
+
+    if trouble():
+        resumed.late_orders.append(("RESUME", carry_out_late))
+    machines = await lab.start_machines(MACHINES)
+    outcomes: dict[str, str] = {}
+    ended = asyncio.Event()
+    writers = [
+        asyncio.create_task(
+            writer(lab, machine, DATABASE, f"w{index}-", 0.1, ended.is_set, outcomes)
+        )
+        for index, machine in enumerate(machines)
+    ]
+    await order(lab, resumed.name, "RESUME", started)
+    lab.note("i-three has answered an order to receive")
+    await asyncio.sleep(1.0)
+    lab.note("planned: i-one reports draining")
+    since = time.monotonic()
+    primary.state = "draining"
+    primary.register()
+    await order(lab, resumed.name, "PAUSE", since)
+    await asyncio.sleep(0.1)
+    if trouble():
+        lagging.deaf = True
+        lab.note("trouble: i-two receives nothing for a while")
+    await asyncio.sleep(DEAF_S)
+    lagging.deaf = False
+    service.ship(lagging)
+    await asyncio.sleep(2.0)
+    ended.set()
+    await asyncio.gather(*writers)
+    for line in [*lab.logged("replicas-resumed"), *lab.logged("promotion-decided")]:
+        lab.note(f"log of {line}")
+    return judge_lost(lab, SERVICE, outcomes)
+
+
+if __name__ == "__main__":
+    run_case(case, Path(__file__).resolve().parent)
