--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,12 +12,14 @@
 
 SERVICE, DATABASE = "lager7", "db-filing"
 MACHINES = 7
-DRAIN_S = 7.0
-# An instance is started again while the machines read the entries of servers every 5 s.
-RESTART_S = 11.0
+# The entry of a lost instance lapses after 3.6 s, and is dropped by the machines up to 10 s later.
+FORGOTTEN_S = 14.0
 DEAF_S = 6.5
 CRASH_AFTER_S = 2.5
 DOWN_S = 7.0
+# The primary is replaced this long after the new instance has started, and drains for 7 s.
+DRAIN_AFTER_S = 4.0
+DRAIN_S = 7.0
 
 
 async def after_next_read(lab: Lab) -> None:
@@ -30,11 +32,11 @@
 
 
 async def case(lab: Lab) -> bool:
-    """Replaces a replica as planned, then lets the primary crash while another hears nothing."""
+    """Replaces the primary as planned; it crashes while the listed replica hears nothing."""
     service = lab.service(SERVICE, sync=1)
     primary = await service.add("i-one", ZONES[0], primary=True)
     lagging = await service.add("i-two", ZONES[1])
-    leaving = await service.add("i-three", ZONES[2])
+    lost = await service.add("i-three", ZONES[2])
     routes = {DATABASE: {"service": SERVICE, "kind": "primary"}}
     lab.platform.store.put("op", "config", manifest(1, routes, {SERVICE: 1}))
     machines = await lab.start_machines(MACHINES)
@@ -47,32 +49,37 @@
         for index, machine in enumerate(machines)
     ]
 
-    lab.note("planned: i-three reports draining, and is replaced")
-    leaving.state = "draining"
-    leaving.register()
-    await asyncio.sleep(DRAIN_S + 1.0)
-    await leaving.leave()
-    lab.note("i-three has left; its entry is removed")
-    await asyncio.sleep(RESTART_S)
+    await asyncio.sleep(2.0)
+    if trouble():
+        lab.note("trouble: i-three is lost for good")
+        await lost.crash()
+    await asyncio.sleep(FORGOTTEN_S)
     await after_next_read(lab)
-    new = await service.add("i-four", ZONES[2], replaces=leaving)
-    lab.note("i-four starts at the address of i-three, with its log; its entry is in the store")
+    new = await service.add("i-four", ZONES[2])
+    lab.note("planned: the primary is replaced; the new instance i-four starts first")
     await asyncio.sleep(0.2)
     if trouble():
+        lab.note(f"i-four has {new.position}, the primary {primary.position}")
         lagging.deaf = True
         lab.note("trouble: i-two receives nothing for a while")
-    await asyncio.sleep(CRASH_AFTER_S)
-    if trouble():
+        await asyncio.sleep(CRASH_AFTER_S)
         lab.note(f"trouble: the primary crashes at {primary.position}, i-four has {new.position}")
         await primary.crash()
-    await asyncio.sleep(DEAF_S - CRASH_AFTER_S)
-    lagging.deaf = False
-    service.ship(lagging)
-    await asyncio.sleep(DOWN_S - (DEAF_S - CRASH_AFTER_S))
-    if trouble():
+        await asyncio.sleep(DEAF_S - CRASH_AFTER_S)
+        lagging.deaf = False
+        service.ship(lagging)
+        await asyncio.sleep(DOWN_S - (DEAF_S - CRASH_AFTER_S))
         await primary.start()
         service.ship(primary)
         lab.note("the crashed instance is back")
+    else:
+        await asyncio.sleep(DRAIN_AFTER_S)
+        lab.note("planned: the primary reports draining")
+        primary.state = "draining"
+        primary.register()
+        await asyncio.sleep(DRAIN_S + 1.0)
+        await primary.leave()
+        lab.note("the replaced instance has left")
     await asyncio.sleep(1.0)
     ended.set()
     await asyncio.gather(*writers)
@@ -88,4 +95,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, Path(__file__).resolve().parent)
+    run_case(case)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A replica that left with acknowledged commits is forgotten when a successor is chosen."""
+"""A lost replica with acknowledged commits is forgotten when a successor is chosen."""
 
 import asyncio
 import sys
@@ -12,15 +12,13 @@
 
 SERVICE, DATABASE = "lager7", "db-filing"
 MACHINES = 7
-DRAIN_S = 7.0
-# The machines read the entries of servers at this interval.
+# The machines read the entries of servers at this interval; an entry lapses after 3.6 s of silence.
 READ_INTERVAL_S = 5.0
+LAPSE_S = 3.6
 DEAF_BEFORE_S = 1.0
 DEAF_S = 6.5
-CRASH_AFTER_S = 0.8
+CRASH_AFTER_S = 4.5
 DOWN_S = 7.0
-# The instance that takes the log of the replaced one starts this long after it has left.
-RESTART_S = 8.0
 
 
 async def before_next_read(lab: Lab, lead_s: float) -> None:
@@ -31,11 +29,11 @@
 
 
 async def case(lab: Lab) -> bool:
-    """Replaces a replica as planned, while another hears nothing and the primary crashes."""
+    """Loses a replica for good while another hears nothing; then the primary crashes."""
     service = lab.service(SERVICE, sync=1)
     primary = await service.add("i-one", ZONES[0], primary=True)
     lagging = await service.add("i-two", ZONES[1])
-    leaving = await service.add("i-three", ZONES[2])
+    lost = await service.add("i-three", ZONES[2])
     routes = {DATABASE: {"service": SERVICE, "kind": "primary"}}
     lab.platform.store.put("op", "config", manifest(1, routes, {SERVICE: 1}))
     machines = await lab.start_machines(MACHINES)
@@ -47,37 +45,32 @@
         )
         for index, machine in enumerate(machines)
     ]
-    await asyncio.sleep(1.0)
-    lab.note("planned: i-three reports draining, and is replaced")
-    leaving.state = "draining"
-    leaving.register()
-    await asyncio.sleep(DRAIN_S)
-    await before_next_read(lab, DEAF_BEFORE_S + 0.4)
+    await asyncio.sleep(6.0)
+    # The entry lapses shortly before a read.
+    await before_next_read(lab, DEAF_BEFORE_S + LAPSE_S + 0.4)
     deaf_at = time.monotonic()
     if trouble():
         lagging.deaf = True
         lab.note("trouble: i-two receives nothing for a while")
     await asyncio.sleep(DEAF_BEFORE_S)
-    await leaving.leave()
-    left_at = time.monotonic()
-    lab.note(f"i-three has left with {leaving.position}; its entry is removed")
+    if trouble():
+        await lost.crash()
+        lab.note(f"trouble: i-three is lost for good, with {lost.position}")
     await asyncio.sleep(CRASH_AFTER_S)
     crashed_at = time.monotonic()
     if trouble():
         lab.note(f"trouble: the primary crashes at {primary.position}")
         await primary.crash()
     await asyncio.sleep(deaf_at + DEAF_S - time.monotonic())
-    lagging.deaf = False
-    service.ship(lagging)
-    lab.note("i-two receives again")
+    if trouble():
+        lagging.deaf = False
+        service.ship(lagging)
+        lab.note("i-two receives again")
     await asyncio.sleep(crashed_at + DOWN_S - time.monotonic())
     if trouble():
         await primary.start()
         service.ship(primary)
         lab.note("the crashed instance is back")
-    await asyncio.sleep(left_at + RESTART_S - time.monotonic())
-    await service.add("i-four", ZONES[2], replaces=leaving)
-    lab.note(f"i-four starts at the address of i-three, with its log up to {leaving.position}")
     await asyncio.sleep(3.0)
     ended.set()
     await asyncio.gather(*writers)
@@ -87,4 +80,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, Path(__file__).resolve().parent)
+    run_case(case)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -58,6 +58,8 @@
     ]
     await order(lab, resumed.name, "RESUME", started)
     lab.note("i-three has answered an order to receive")
+    lab.note("planned: the primary is replaced; the new instance i-four starts first")
+    await service.add("i-four", ZONES[0])
     await asyncio.sleep(1.0)
     lab.note("planned: i-one reports draining")
     since = time.monotonic()
@@ -80,4 +82,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, Path(__file__).resolve().parent)
+    run_case(case)
--- a/review/standin3/lab.py
+++ b/review/standin3/lab.py
@@ -303,8 +303,12 @@
 Case = Callable[[Lab], Awaitable[bool]]
 
 
-def run_case(case: Case, folder: Path) -> NoReturn:
-    """Runs a case, writes its record, and exits with 1 if the rule was broken, else 0, or 2."""
+def run_case(case: Case) -> NoReturn:
+    """Runs a case, writes its record, and exits with 1 if the rule was broken, else 0, or 2.
+
+    The first argument of the program is the path of the record.
+    """
+    record = Path(sys.argv[1])
     lab = Lab()
 
     async def run() -> int:
@@ -327,7 +331,7 @@
     try:
         status = loop.run_until_complete(run())
     finally:
-        lab.write_record(folder / "record.txt")
+        lab.write_record(record)
         lab.close()
     print(lab.lines[-1][9:])
     sys.stdout.flush()
