--- a/review/11/case.py
+++ b/review/11/case.py
@@ -10,11 +10,13 @@
 from review.standin3.instances import manifest  # noqa: E402
 from review.standin3.lab import ZONES, Lab, judge_lost, run_case, trouble, writer  # noqa: E402
 
-SERVICE, DATABASE = "lager7", "db-filing"
+SERVICE, DATABASE = "lager7", "db-booking"
+# Of the services of the site.
+MAX_CONNECTIONS, OPENING_S = 30, 0.027
 MACHINES = 7
 # The entry of a lost instance lapses after 3.6 s, and is dropped by the machines up to 10 s later.
 FORGOTTEN_S = 14.0
-DEAF_S = 6.5
+DEAF_S = 6.0
 CRASH_AFTER_S = 2.5
 DOWN_S = 7.0
 # The primary is replaced this long after the new instance has started, and drains for 7 s.
@@ -33,12 +35,12 @@
 
 async def case(lab: Lab) -> bool:
     """Replaces the primary as planned; it crashes while the listed replica hears nothing."""
-    service = lab.service(SERVICE, sync=1)
+    service = lab.service(SERVICE, sync=1, max_connections=MAX_CONNECTIONS, opening_s=OPENING_S)
     primary = await service.add("i-one", ZONES[0], primary=True)
     lagging = await service.add("i-two", ZONES[1])
     lost = await service.add("i-three", ZONES[2])
     routes = {DATABASE: {"service": SERVICE, "kind": "primary"}}
-    lab.platform.store.put("op", "config", manifest(1, routes, {SERVICE: 1}))
+    lab.platform.store.put("op", "config", manifest(1, routes, {SERVICE: 1}, MAX_CONNECTIONS))
     machines = await lab.start_machines(MACHINES)
     outcomes: dict[str, str] = {}
     ended = asyncio.Event()
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -10,13 +10,15 @@
 from review.standin3.instances import manifest  # noqa: E402
 from review.standin3.lab import ZONES, Lab, judge_lost, run_case, trouble, writer  # noqa: E402
 
-SERVICE, DATABASE = "lager7", "db-filing"
+SERVICE, DATABASE = "lager7", "db-booking"
+# Of the services of the site.
+MAX_CONNECTIONS, OPENING_S = 30, 0.027
 MACHINES = 7
 # The machines read the entries of servers at this interval; an entry lapses after 3.6 s of silence.
 READ_INTERVAL_S = 5.0
 LAPSE_S = 3.6
 DEAF_BEFORE_S = 1.0
-DEAF_S = 6.5
+DEAF_S = 6.0
 CRASH_AFTER_S = 4.5
 DOWN_S = 7.0
 
@@ -30,12 +32,12 @@
 
 async def case(lab: Lab) -> bool:
     """Loses a replica for good while another hears nothing; then the primary crashes."""
-    service = lab.service(SERVICE, sync=1)
+    service = lab.service(SERVICE, sync=1, max_connections=MAX_CONNECTIONS, opening_s=OPENING_S)
     primary = await service.add("i-one", ZONES[0], primary=True)
     lagging = await service.add("i-two", ZONES[1])
     lost = await service.add("i-three", ZONES[2])
     routes = {DATABASE: {"service": SERVICE, "kind": "primary"}}
-    lab.platform.store.put("op", "config", manifest(1, routes, {SERVICE: 1}))
+    lab.platform.store.put("op", "config", manifest(1, routes, {SERVICE: 1}, MAX_CONNECTIONS))
     machines = await lab.start_machines(MACHINES)
     outcomes: dict[str, str] = {}
     ended = asyncio.Event()
--- a/review/standin3/lab.py
+++ b/review/standin3/lab.py
@@ -84,9 +84,9 @@
     async def _promote(self, service: str, name: str) -> int:
         return await self.services[service].promote(name)
 
-    def service(self, name: str, sync: int = 0) -> Service:
+    def service(self, name: str, sync: int = 0, **figures: Any) -> Service:
         """Adds a service without instances."""
-        found = self.services[name] = Service(name, self.host, self.platform.store, sync)
+        found = self.services[name] = Service(name, self.host, self.platform.store, sync, **figures)
         return found
 
     async def add_machine(self, index: int, seeds: list[str]) -> Machine:
